--- /dev/null
+++ b/source/almondquay/command_line.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "common/result.h"
+#include "config/fleet_envelope.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace almondquay {
+
+enum class command_name { check, apply, show, status, drain, undrain, timeline, explain };
+
+/// A whole command line. Fields that the command does not take stay empty.
+struct command_line {
+    command_name name = command_name::status;
+    std::string settings_file;
+    std::string file;                     ///< check, apply
+    std::optional<std::uint64_t> read_at; ///< apply: the generation the text was edited from
+    std::string reason;                   ///< apply, drain, undrain
+    drain_kind kind = drain_kind::target; ///< drain, undrain
+    std::string subject;                  ///< drain, undrain: a name; explain: an id
+    bool json = false;
+};
+
+/// Reads the arguments; prints help or the problem itself. Errors: usage_error; its detail is
+/// empty if help was asked for.
+result<command_line> parse_command_line(int argc, const char* const* argv);
+
+} // namespace almondquay
--- /dev/null
+++ b/source/almondquay/host_commands.cpp
@@ -0,0 +1,147 @@
+#include "almondquay/commands.h"
+#include "peer/host_status.h"
+#include "timeline/explain.h"
+
+#include <iomanip>
+#include <iostream>
+#include <set>
+
+namespace almondquay {
+
+namespace {
+
+std::string state_of(const host_status& s)
+{
+    if (s.leaving) {
+        return "leaving";
+    }
+    return s.ready ? "serving" : "starting";
+}
+
+void print_targets(const host_status& s)
+{
+    for (const auto& t : s.targets) {
+        std::cout << "    target " << std::left << std::setw(16) << t.id << " " << std::setw(12)
+                  << t.service << (t.usable ? "usable" : "no work: " + t.why) << ", " << t.in_flight
+                  << " of " << t.share << " slots in use here\n";
+    }
+}
+
+void print_members(const host_status& s)
+{
+    for (const auto& m : s.members) {
+        if (!m.alive || m.leaving) {
+            std::cout << "    sees " << m.id << (m.alive ? " leaving" : " dead") << '\n';
+        }
+    }
+}
+
+void print_status(const host_status& s)
+{
+    std::cout << std::left << std::setw(16) << s.host << std::setw(20) << s.domain << std::setw(10)
+              << state_of(s) << "generation " << s.in_force << " since "
+              << format_time({s.in_force_since_ms, 0})
+              << (s.platform_reachable ? "" : "  (not watching or platform out of reach)") << '\n';
+    print_members(s);
+    print_targets(s);
+}
+
+std::vector<host_status> decode_all(const host_answers& answers, bool json)
+{
+    std::vector<host_status> all;
+    for (const auto& [host, answer] : answers) {
+        const auto status = succeeded(answer) ? decode_host_status(value_of(answer))
+                                              : result<host_status>(error_of(answer));
+        if (succeeded(status)) {
+            all.push_back(value_of(status));
+        } else if (!json) {
+            std::cout << to_string(host) << "  no answer: " << name_of(error_of(status).code)
+                      << '\n';
+        }
+    }
+    return all;
+}
+
+result_code judge(const std::vector<host_status>& all)
+{
+    if (all.empty()) {
+        return complain({result_code::no_host_answered, ""});
+    }
+    std::set<std::pair<std::uint64_t, std::uint64_t>> versions;
+    for (const auto& s : all) {
+        versions.emplace(s.in_force, s.fingerprint);
+    }
+    if (versions.size() > 1) {
+        return complain({result_code::fleet_disagrees,
+                         std::to_string(versions.size()) + " different versions are in force"});
+    }
+    return result_code::ok;
+}
+
+result<std::vector<decision>> gather_timeline(operator_session& session)
+{
+    std::vector<std::vector<decision>> records;
+    for (const auto& [host, answer] : ask_hosts(session, "timeline")) {
+        auto decoded = succeeded(answer) ? decode_decisions(value_of(answer))
+                                         : result<std::vector<decision>>(error_of(answer));
+        if (succeeded(decoded)) {
+            records.push_back(std::move(value_of(decoded)));
+        }
+    }
+    if (records.empty()) {
+        return error{result_code::no_host_answered, ""};
+    }
+    return merge_timelines(std::move(records));
+}
+
+} // namespace
+
+result_code run_status(operator_session& session, const command_line& c)
+{
+    const auto all = decode_all(ask_hosts(session, "status"), c.json);
+    if (c.json) {
+        std::cout << '[';
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            std::cout << (i == 0 ? "" : ",") << encode(all[i]);
+        }
+        std::cout << "]\n";
+    } else {
+        for (const auto& s : all) {
+            print_status(s);
+        }
+    }
+    return judge(all);
+}
+
+result_code run_timeline(operator_session& session, const command_line& c)
+{
+    const auto merged = gather_timeline(session);
+    if (!succeeded(merged)) {
+        return complain(error_of(merged));
+    }
+    if (c.json) {
+        std::cout << encode(value_of(merged)) << '\n';
+        return result_code::ok;
+    }
+    for (const auto& d : value_of(merged)) {
+        std::cout << format_time(d.time) << "  " << std::left << std::setw(10) << d.host
+                  << std::setw(34) << d.id << d.summary << '\n';
+    }
+    return result_code::ok;
+}
+
+result_code run_explain(operator_session& session, const command_line& c)
+{
+    const auto merged = gather_timeline(session);
+    if (!succeeded(merged)) {
+        return complain(error_of(merged));
+    }
+    const auto chain = causes_of(value_of(merged), c.subject);
+    if (!succeeded(chain)) {
+        return complain(error_of(chain));
+    }
+    std::cout << (c.json ? encode(value_of(chain)) + "\n" : explain(value_of(chain)));
+    return result_code::ok;
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/almondquayd/daemon.cpp
@@ -0,0 +1,205 @@
+#include "almondquayd/daemon.h"
+
+#include "almondquayd/interpreter.h"
+#include "almondquayd/operator_api.h"
+#include "control/reducer.h"
+#include "http/server.h"
+#include "logging/log.h"
+#include "platform/http_object_store.h"
+
+#include <csignal>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace almondquay {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// The parts of a running host. Members are destroyed from the last to the first, so the ones
+/// that call others stand below them.
+struct daemon_parts {
+    explicit daemon_parts(const process_settings& s) : settings(s) {}
+
+    const process_settings& settings;
+    asio::io_context io{1};
+    control_state state;
+    timeline_ring timeline;
+    std::unique_ptr<metrics::registry> metrics = metrics::registry::create();
+    std::unique_ptr<http_object_store> store;
+    std::unique_ptr<http::client> client;
+    std::unique_ptr<gossip_channel> gossip;
+    std::unique_ptr<rpc_server> rpc;
+    std::unique_ptr<http::server> peers;
+    std::unique_ptr<traffic_server> traffic;
+    interpreter effects_runner;
+    asio::steady_timer ticks{io};
+    asio::signal_set signals{io, SIGTERM, SIGINT};
+};
+
+void handle(daemon_parts& d, event_body body)
+{
+    const event e{std::move(body), std::chrono::steady_clock::now(),
+                  std::chrono::system_clock::now()};
+    carry_out(d.effects_runner, reduce(d.state, e));
+}
+
+void schedule_tick(daemon_parts& d)
+{
+    d.ticks.expires_after(tick_interval);
+    d.ticks.async_wait([&d](const boost::system::error_code& problem) {
+        if (!problem) {
+            handle(d, tick_event{});
+            schedule_tick(d);
+        }
+    });
+}
+
+/// What a second stop signal tells the operator.
+void log_waiting(const daemon_parts& d)
+{
+    std::uint32_t running = 0;
+    for (const auto& [id, t] : d.state.fleet.text.targets) {
+        running += d.traffic->in_flight(id);
+    }
+    const bool has_grace = d.state.stage == life_stage::leaving;
+    log::write(log::level::warning, "still_stopping",
+               {{"waiting_for", has_grace ? "callers to forget this host" : "running requests"},
+                {"running_requests", std::to_string(running)}});
+}
+
+void wait_for_signal(daemon_parts& d)
+{
+    d.signals.async_wait([&d](const boost::system::error_code& problem, int /*signal*/) {
+        if (problem) {
+            return;
+        }
+        const bool is_stopping =
+            d.state.stage == life_stage::leaving || d.state.stage == life_stage::ending;
+        if (is_stopping) {
+            log_waiting(d);
+        } else {
+            handle(d, stop_requested_event{});
+        }
+        wait_for_signal(d);
+    });
+}
+
+void publish_gauges(daemon_parts& d)
+{
+    const auto& calls = d.store->counts();
+    d.metrics->set({"platform_calls_total", "", "read"}, static_cast<double>(calls.reads));
+    d.metrics->set({"platform_calls_total", "", "write"}, static_cast<double>(calls.writes));
+    d.metrics->set({"platform_calls_total", "", "watch"}, static_cast<double>(calls.watches));
+    d.metrics->set({"gossip_bytes_total", "", ""}, static_cast<double>(d.gossip->bytes_sent()));
+    const auto in_force = d.state.fleet.envelope ? d.state.fleet.envelope->number.value : 0;
+    d.metrics->set({"generation_in_force", "", ""}, static_cast<double>(in_force));
+}
+
+void answer_peer(daemon_parts& d, const http::request& request, const http::responder& respond)
+{
+    if (request.method == "POST" && request.path == rpc_path) {
+        respond(d.rpc->handle(request));
+    } else if (request.method == "GET" && request.path == "/metrics") {
+        publish_gauges(d);
+        respond({http::status_ok,
+                 {{"Content-Type", "text/plain; version=0.0.4"}},
+                 d.metrics->expose()});
+    } else {
+        respond({http::status_not_found, {}, {}});
+    }
+}
+
+result<done> open_peer_side(daemon_parts& d)
+{
+    const endpoint at{d.settings.address, d.settings.peer_port};
+    auto gossip =
+        gossip_channel::create(d.io, at, d.settings.secret, [&d](result<gossip_message> message) {
+            if (succeeded(message)) {
+                handle(d, gossip_event{std::move(value_of(message))});
+            } else {
+                d.metrics->add(
+                    {"gossip_refused_total", "", std::string(name_of(error_of(message).code))});
+            }
+        });
+    if (!succeeded(gossip)) {
+        return error_of(gossip);
+    }
+    d.gossip = std::move(value_of(gossip));
+    auto peers = http::server::create(
+        d.io, at, [&d](const http::request& request, const http::responder& respond) {
+            answer_peer(d, request, respond);
+        });
+    if (!succeeded(peers)) {
+        return error_of(peers);
+    }
+    d.peers = std::move(value_of(peers));
+    return done{};
+}
+
+result<done> open_caller_side(daemon_parts& d, const std::function<void(event_body)>& emit)
+{
+    const traffic_settings settings{d.settings.host,
+                                    {d.settings.address, d.settings.caller_port},
+                                    d.settings.traffic_threads,
+                                    d.settings.max_connections};
+    auto traffic = traffic_server::create(
+        settings, *d.metrics, [emit](target_report_event report) { emit(std::move(report)); });
+    if (!succeeded(traffic)) {
+        return error_of(traffic);
+    }
+    d.traffic = std::move(value_of(traffic));
+    return done{};
+}
+
+result<done> open_all(daemon_parts& d)
+{
+    const auto emit = [&d](event_body body) {
+        asio::post(d.io, [&d, body = std::move(body)]() mutable { handle(d, std::move(body)); });
+    };
+    d.store = http_object_store::create(d.io, d.settings.platform, d.settings.platform_timeout);
+    d.client = http::client::create(d.io);
+    const auto peer_side = open_peer_side(d);
+    if (!succeeded(peer_side)) {
+        return peer_side;
+    }
+    const auto caller_side = open_caller_side(d, emit);
+    if (!succeeded(caller_side)) {
+        return caller_side;
+    }
+    d.rpc =
+        rpc_server::create(d.settings.secret, make_operator_api(d.state, d.timeline, *d.traffic));
+    d.effects_runner = {&d.settings,     d.store.get(), d.client.get(), d.gossip.get(),
+                        d.traffic.get(), &d.timeline,   emit,           [&d] { d.io.stop(); }};
+    return done{};
+}
+
+} // namespace
+
+result<done> run_daemon(const process_settings& settings)
+{
+    daemon_parts d(settings);
+    const auto life = milliseconds_of(std::chrono::system_clock::now());
+    d.state =
+        make_control_state({settings.host, settings.domain, incarnation(life), settings.seeds},
+                           life ^ std::hash<host_id>{}(settings.host));
+    const auto opened = open_all(d);
+    if (!succeeded(opened)) {
+        return opened;
+    }
+    log::write(log::level::info, "started",
+               {{"callers", settings.address + ":" + std::to_string(settings.caller_port)},
+                {"peers", settings.address + ":" + std::to_string(settings.peer_port)}});
+    wait_for_signal(d);
+    handle(d, tick_event{});
+    schedule_tick(d);
+    d.io.run();
+    log::write(log::level::info, "stopped");
+    return done{};
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/almondquayd/interpreter.cpp
@@ -0,0 +1,114 @@
+#include "almondquayd/interpreter.h"
+
+#include "logging/log.h"
+#include "peer/rpc_client.h"
+
+#include <string>
+
+namespace almondquay {
+
+namespace {
+
+constexpr std::chrono::milliseconds peer_timeout{1'000};
+constexpr std::chrono::milliseconds probe_timeout{1'000};
+constexpr unsigned server_error = 500;
+
+void run(interpreter& i, const publish_effect& e)
+{
+    i.traffic->publish(e.snapshot);
+}
+
+void run(interpreter& i, const watch_fleet_effect& e)
+{
+    const auto done = [emit = i.emit](result<stored_object> object) {
+        emit(fleet_read_event{std::move(object)});
+    };
+    const std::string key(fleet_object_key);
+    if (e.wait.count() == 0) {
+        i.store->get(key, done);
+    } else {
+        i.store->watch(key, e.known, e.wait, done);
+    }
+}
+
+void run(interpreter& i, const write_fleet_effect& e)
+{
+    i.store->update(std::string(fleet_object_key), e.expected, encode(e.envelope),
+                    [emit = i.emit](result<object_version> version) {
+                        emit(fleet_written_event{std::move(version)});
+                    });
+}
+
+result<fleet_envelope> to_envelope(const result<std::string>& answer)
+{
+    return succeeded(answer) ? decode_fleet_envelope(value_of(answer))
+                             : result<fleet_envelope>(error_of(answer));
+}
+
+void run(interpreter& i, const fetch_fleet_effect& e)
+{
+    call_rpc(*i.client, i.settings->secret, e.peer, "fleet", "", peer_timeout,
+             [emit = i.emit, peer = to_string(e.peer)](const result<std::string>& answer) {
+                 emit(peer_fleet_event{peer, to_envelope(answer)});
+             });
+}
+
+void run(interpreter& i, const send_gossip_effect& e)
+{
+    i.gossip->send(e.peer, e.message);
+}
+
+void run(interpreter& i, const probe_effect& e)
+{
+    i.client->send(e.address, {"GET", "/healthz", {}, {}}, probe_timeout,
+                   [emit = i.emit, id = e.target](const result<http::response>& answer) {
+                       const bool answered =
+                           succeeded(answer) && value_of(answer).status < server_error;
+                       emit(probe_ended_event{id, answered});
+                   });
+}
+
+std::string joined(const std::vector<std::string>& parts)
+{
+    std::string text;
+    for (const auto& part : parts) {
+        text += (text.empty() ? "" : ",") + part;
+    }
+    return text;
+}
+
+void run(interpreter& i, const record_effect& e)
+{
+    std::string inputs;
+    for (const auto& input : e.made.inputs) {
+        inputs += (inputs.empty() ? "" : " ") + input.name + ":" + input.value;
+    }
+    log::write(log::level::info, e.made.kind,
+               {{"id", e.made.id},
+                {"summary", e.made.summary},
+                {"rule", e.made.rule},
+                {"causes", joined(e.made.causes)},
+                {"inputs", inputs}});
+    record(*i.timeline, e.made);
+}
+
+void run(interpreter& i, const stop_traffic_effect& /*e*/)
+{
+    i.traffic->stop([emit = i.emit] { emit(traffic_ended_event{}); });
+}
+
+void run(interpreter& i, const exit_effect& /*e*/)
+{
+    i.exit();
+}
+
+} // namespace
+
+void carry_out(interpreter& i, effects&& todo)
+{
+    for (const auto& e : todo) {
+        std::visit([&](const auto& one) { run(i, one); }, e);
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/almondquayd/operator_api.cpp
@@ -0,0 +1,39 @@
+#include "almondquayd/operator_api.h"
+
+#include "control/status.h"
+
+namespace almondquay {
+
+namespace {
+
+std::string answer_fleet(const control_state& state)
+{
+    return encode(state.fleet.envelope.value_or(fleet_envelope{}));
+}
+
+std::string answer_status(const control_state& state, const timeline_ring& timeline,
+                          const traffic_server& traffic)
+{
+    auto status = make_status(state);
+    status.decisions_dropped = timeline.dropped;
+    for (auto& t : status.targets) {
+        t.in_flight = traffic.in_flight(target_id(t.id));
+    }
+    return encode(status);
+}
+
+} // namespace
+
+rpc_methods make_operator_api(const control_state& state, const timeline_ring& timeline,
+                              const traffic_server& traffic)
+{
+    rpc_methods methods;
+    methods["fleet"] = [&state](const std::string&) { return answer_fleet(state); };
+    methods["status"] = [&](const std::string&) { return answer_status(state, timeline, traffic); };
+    methods["timeline"] = [&timeline](const std::string&) {
+        return encode(decisions_since(timeline, {}));
+    };
+    return methods;
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/common/strong_type.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+/// Strong types for identifiers and units, so that a host cannot be passed for a target.
+namespace almondquay {
+
+/// A value of type T that only mixes with others of the same Tag.
+template <class Tag, class T> struct strong {
+    T value{};
+
+    strong() = default;
+    explicit strong(T v) : value(std::move(v)) {}
+
+    auto operator<=>(const strong&) const = default;
+    bool operator==(const strong&) const = default;
+};
+
+using region_id = strong<struct region_tag, std::string>;
+using failure_domain_id = strong<struct failure_domain_tag, std::string>;
+using host_id = strong<struct host_tag, std::string>;
+using service_id = strong<struct service_tag, std::string>;
+using target_id = strong<struct target_tag, std::string>;
+
+/// Counts the accepted configurations; a host only ever moves to a higher one.
+using generation = strong<struct generation_tag, std::uint64_t>;
+/// Tells apart the lives of a host that keeps its name and address.
+using incarnation = strong<struct incarnation_tag, std::uint64_t>;
+
+/// Requests that a target serves at the same time.
+using slot_count = strong<struct slot_tag, std::uint32_t>;
+using megabits_per_second = strong<struct megabits_tag, double>;
+using percent = strong<struct percent_tag, double>;
+
+} // namespace almondquay
+
+template <class Tag, class T> struct std::hash<almondquay::strong<Tag, T>> {
+    std::size_t operator()(const almondquay::strong<Tag, T>& v) const
+    {
+        return std::hash<T>{}(v.value);
+    }
+};
--- /dev/null
+++ b/source/config/ini_document.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "config/diagnostic.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// INI texts with the line of every heading and key, so that findings can point at them.
+namespace almondquay {
+
+struct ini_entry {
+    std::string key;
+    std::string value;
+    int line = 0;
+};
+
+/// "[grant mersin-a izmir-b ledger]" has kind "grant" and three names.
+struct ini_section {
+    std::string kind;
+    std::vector<std::string> names;
+    int line = 0;
+    std::vector<ini_entry> entries;
+};
+
+struct ini_document {
+    std::string file;
+    std::vector<ini_section> sections;
+    diagnostics findings;
+};
+
+/// Splits `text` into sections and keys. Syntax errors become findings (text_syntax,
+/// line_too_long) and do not stop the run. `file` is only used to name the place.
+ini_document read_ini(std::string_view text, std::string file);
+
+/// Splits "a, b c" at commas and spaces, dropping empty parts.
+std::vector<std::string> split_list(std::string_view text);
+
+} // namespace almondquay
--- /dev/null
+++ b/source/config/section_reader.cpp
@@ -0,0 +1,105 @@
+#include "config/section_reader.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace almondquay {
+
+section_reader make_section_reader(const ini_section& section, ini_document& document)
+{
+    return {&section, &document, {}};
+}
+
+const ini_entry* find_entry(section_reader& reader, std::string_view key)
+{
+    reader.known_keys.push_back(key);
+    const auto& entries = reader.section->entries;
+    const auto found = std::ranges::find(entries, key, &ini_entry::key);
+    return found == entries.end() ? nullptr : &*found;
+}
+
+void report(section_reader& reader, std::string_view key, result_code code, std::string message)
+{
+    const auto& entries = reader.section->entries;
+    const auto found = std::ranges::find(entries, key, &ini_entry::key);
+    const int line = found == entries.end() ? reader.section->line : found->line;
+    reader.document->findings.push_back({code, reader.document->file, line, std::move(message)});
+}
+
+std::string read_required(section_reader& reader, std::string_view key)
+{
+    const auto* entry = find_entry(reader, key);
+    if (entry == nullptr || entry->value.empty()) {
+        report(reader, key, result_code::missing_key,
+               "section '" + reader.section->kind + "' needs the key '" + std::string(key) + "'");
+        return {};
+    }
+    return entry->value;
+}
+
+std::string read_text(section_reader& reader, std::string_view key, std::string_view fallback)
+{
+    const auto* entry = find_entry(reader, key);
+    return entry == nullptr ? std::string(fallback) : entry->value;
+}
+
+std::int64_t read_number(section_reader& reader, std::string_view key, number_range range,
+                         std::int64_t fallback)
+{
+    const auto* entry = find_entry(reader, key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    std::int64_t number = 0;
+    const auto* first = entry->value.data();
+    const auto* last = first + entry->value.size();
+    const auto [end, problem] = std::from_chars(first, last, number);
+    const bool is_good =
+        problem == std::errc{} && end == last && number >= range.lowest && number <= range.highest;
+    if (!is_good) {
+        report(reader, key, result_code::bad_value,
+               "'" + std::string(key) + "' takes a whole number from " +
+                   std::to_string(range.lowest) + " to " + std::to_string(range.highest) +
+                   ", not '" + entry->value + "'");
+        return fallback;
+    }
+    return number;
+}
+
+std::chrono::milliseconds read_milliseconds(section_reader& reader, std::string_view key,
+                                            number_range range, std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(read_number(reader, key, range, fallback.count()));
+}
+
+bool read_flag(section_reader& reader, std::string_view key, bool fallback)
+{
+    const auto* entry = find_entry(reader, key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    if (entry->value != "yes" && entry->value != "no") {
+        report(reader, key, result_code::bad_value,
+               "'" + std::string(key) + "' takes yes or no, not '" + entry->value + "'");
+        return fallback;
+    }
+    return entry->value == "yes";
+}
+
+std::vector<std::string> read_list(section_reader& reader, std::string_view key)
+{
+    const auto* entry = find_entry(reader, key);
+    return entry == nullptr ? std::vector<std::string>{} : split_list(entry->value);
+}
+
+void finish(section_reader& reader)
+{
+    for (const auto& entry : reader.section->entries) {
+        if (std::ranges::find(reader.known_keys, entry.key) == reader.known_keys.end()) {
+            report(reader, entry.key, result_code::unknown_key,
+                   "section '" + reader.section->kind + "' has no key '" + entry.key + "'");
+        }
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/control/effect.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "config/fleet_envelope.h"
+#include "peer/gossip_message.h"
+#include "platform/object_store.h"
+#include "steering/routing_snapshot.h"
+#include "timeline/decision.h"
+
+#include <chrono>
+#include <variant>
+#include <vector>
+
+/// What the reducer wants done. Effects are data; the interpreter carries them out.
+namespace almondquay {
+
+/// Gives the traffic threads a new view.
+struct publish_effect {
+    snapshot_ptr snapshot;
+};
+
+/// Waits for a fleet object other than version `known`. Ends in a fleet_read_event.
+struct watch_fleet_effect {
+    object_version known = 0;
+    std::chrono::milliseconds wait{0};
+};
+
+/// Writes the fleet object if it has version `expected`. Ends in a fleet_written_event.
+struct write_fleet_effect {
+    fleet_envelope envelope;
+    object_version expected = 0;
+};
+
+/// Asks a peer for its envelope. Ends in a peer_fleet_event.
+struct fetch_fleet_effect {
+    endpoint peer;
+};
+
+struct send_gossip_effect {
+    endpoint peer;
+    gossip_message message;
+};
+
+/// Asks a target whether it answers. Ends in a probe_ended_event.
+struct probe_effect {
+    target_id target;
+    endpoint address;
+};
+
+/// Keeps a decision for the time line and the log.
+struct record_effect {
+    decision made;
+};
+
+/// Takes no further requests and ends once the running ones have. Ends in a traffic_ended_event.
+struct stop_traffic_effect {};
+
+/// Ends the process.
+struct exit_effect {};
+
+using effect =
+    std::variant<publish_effect, watch_fleet_effect, write_fleet_effect, fetch_fleet_effect,
+                 send_gossip_effect, probe_effect, record_effect, stop_traffic_effect, exit_effect>;
+using effects = std::vector<effect>;
+
+} // namespace almondquay
--- /dev/null
+++ b/source/control/event.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "common/hybrid_clock.h"
+#include "config/fleet_envelope.h"
+#include "peer/gossip_message.h"
+#include "platform/object_store.h"
+
+#include <string>
+#include <variant>
+
+/// Everything that can happen to a host's control state.
+namespace almondquay {
+
+/// Time has passed; sent every `tick_interval`.
+struct tick_event {};
+
+/// A read or watch of the fleet object ended.
+struct fleet_read_event {
+    result<stored_object> object;
+};
+
+/// A write of the fleet object ended.
+struct fleet_written_event {
+    result<object_version> version;
+};
+
+/// A peer answered with its envelope, or did not.
+struct peer_fleet_event {
+    std::string peer;
+    result<fleet_envelope> envelope;
+};
+
+struct gossip_event {
+    gossip_message message;
+};
+
+/// How the traffic threads fared with a target.
+enum class target_evidence { served, connect_failed, answer_lost };
+
+/// Sent on every failure and on the first success after failures.
+struct target_report_event {
+    target_id target;
+    target_evidence evidence = target_evidence::served;
+};
+
+struct probe_ended_event {
+    target_id target;
+    bool answered = false;
+};
+
+/// The operator asked this process to stop.
+struct stop_requested_event {};
+
+/// The traffic threads have finished their last request.
+struct traffic_ended_event {};
+
+using event_body =
+    std::variant<tick_event, fleet_read_event, fleet_written_event, peer_fleet_event, gossip_event,
+                 target_report_event, probe_ended_event, stop_requested_event, traffic_ended_event>;
+
+/// An event and the time at which it was taken from the queue.
+struct event {
+    event_body body;
+    monotonic_time now;
+    wall_time wall;
+};
+
+constexpr std::chrono::milliseconds tick_interval{250};
+
+} // namespace almondquay
--- /dev/null
+++ b/source/control/fleet_adoption.cpp
@@ -0,0 +1,219 @@
+#include "control/fleet_adoption.h"
+
+#include "config/fleet_text.h"
+#include "control/decisions.h"
+#include "control/membership.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace almondquay {
+
+namespace {
+
+constexpr std::chrono::milliseconds shortest_backoff{200};
+constexpr std::chrono::milliseconds longest_backoff{5'000};
+constexpr unsigned max_doublings = 5;
+
+std::uint64_t rank_of(const host_id& id)
+{
+    return XXH3_64bits(id.value.data(), id.value.size());
+}
+
+std::chrono::milliseconds backoff(control_state& state)
+{
+    const auto doubled = shortest_backoff * (1U << std::min(state.fleet.failures, max_doublings));
+    const auto longest = std::min(doubled, longest_backoff).count();
+    std::uniform_int_distribution<std::int64_t> jitter(longest / 2, longest);
+    return std::chrono::milliseconds(jitter(state.random));
+}
+
+bool is_known_no_newer(const control_state& state, const fleet_envelope& envelope)
+{
+    return state.fleet.envelope && envelope.number <= state.fleet.envelope->number;
+}
+
+/// Two texts of one generation cannot both have been accepted by the platform unless it was
+/// restored in between. Neither replaces the other; the next generation heals it.
+void note_disagreement(control_state& state, const event& e, const fleet_envelope& envelope,
+                       const std::string& source, effects& out)
+{
+    const bool disagrees = envelope.number == state.fleet.envelope->number &&
+                           fingerprint_of(envelope) != state.fleet.fingerprint;
+    if (!disagrees || state.fleet.disagreed == envelope.number) {
+        return;
+    }
+    state.fleet.disagreed = envelope.number;
+    decide(state, out, e.wall,
+           {"fleet_conflict",
+            "of two texts with one generation the first one stays in force",
+            "A different text with generation " + std::to_string(envelope.number.value) +
+                " was seen; the one in force stays. Apply the intended text once more.",
+            {state.fleet.adopted_by},
+            {{"seen_at", source}}});
+}
+
+void refuse(control_state& state, const event& e, const fleet_envelope& envelope,
+            const diagnostics& findings, effects& out)
+{
+    if (!state.fleet.refused.insert(envelope.number).second) {
+        return;
+    }
+    decide(state, out, e.wall,
+           {"refuse_fleet",
+            "a text with findings is never put in force",
+            "Generation " + std::to_string(envelope.number.value) + " is refused.",
+            {},
+            {{"first_finding", to_string(findings.front())},
+             {"findings", std::to_string(findings.size())},
+             {"changed_by", envelope.changed_by}}});
+}
+
+void put_in_force(control_state& state, const event& e, const fleet_envelope& envelope,
+                  fleet&& text, const std::string& source, effects& out)
+{
+    const auto before = state.fleet.envelope ? state.fleet.envelope->number.value : 0;
+    state.fleet.envelope = envelope;
+    state.fleet.text = std::move(text);
+    state.fleet.blocks = make_block_table(state.fleet.text.caller_blocks);
+    state.fleet.fingerprint = fingerprint_of(envelope);
+    state.fleet.since = e.wall;
+    state.snapshot_is_stale = true;
+    state.fleet.adopted_by = decide(
+        state, out, e.wall,
+        {"adopt_fleet",
+         "only a higher generation replaces the one in force",
+         "Generation " + std::to_string(envelope.number.value) + " is in force: " + envelope.reason,
+         {},
+         {{"before", std::to_string(before)},
+          {"source", source},
+          {"changed_by", envelope.changed_by},
+          {"change", change_id(envelope)}}});
+    announce(state, out);
+}
+
+void adopt(control_state& state, const event& e, const fleet_envelope& envelope,
+           const std::string& source, effects& out)
+{
+    if (is_known_no_newer(state, envelope)) {
+        note_disagreement(state, e, envelope, source, out);
+        return;
+    }
+    auto parsed = parse_fleet(envelope.text, "fleet");
+    if (const auto* findings = std::get_if<diagnostics>(&parsed)) {
+        refuse(state, e, envelope, *findings, out);
+        return;
+    }
+    put_in_force(state, e, envelope, std::get<fleet>(std::move(parsed)), source, out);
+}
+
+/// The platform was restored to an older state: it gets back what is in force.
+void restore_platform(control_state& state, const event& e, const fleet_envelope& seen,
+                      effects& out)
+{
+    const bool is_behind = state.fleet.envelope && seen.number < state.fleet.envelope->number;
+    if (!is_behind || state.fleet.write_running) {
+        return;
+    }
+    state.fleet.write_running = true;
+    decide(state, out, e.wall,
+           {"restore_platform",
+            "the platform gets back a higher generation that is in force",
+            "The platform holds generation " + std::to_string(seen.number.value) +
+                ", older than the one in force; it is written back.",
+            {state.fleet.adopted_by},
+            {{"in_force", std::to_string(state.fleet.envelope->number.value)}}});
+    out.emplace_back(write_fleet_effect{*state.fleet.envelope, state.fleet.platform_version});
+}
+
+void start_serving_if_ready(control_state& state, const event& e, effects& out)
+{
+    const bool is_ready = state.stage == life_stage::starting && state.fleet.envelope &&
+                          state.fleet.platform_answered;
+    if (!is_ready) {
+        return;
+    }
+    state.stage = life_stage::serving;
+    state.snapshot_is_stale = true;
+    decide(state, out, e.wall,
+           {"start_serving",
+            "a host serves once the platform, or failing that a peer, has told it what is in force",
+            "This host starts serving.",
+            {state.fleet.adopted_by},
+            {{"platform", state.fleet.platform_reachable ? "answered" : "out of reach"}}});
+}
+
+} // namespace
+
+bool is_watcher(const control_state& state)
+{
+    const auto live = live_hosts(state);
+    std::vector<host_id> ranked;
+    for (const auto* h : hosts_of(state.fleet.text, state.self.domain)) {
+        if (live.contains(h->id) || h->id == state.self.host) {
+            ranked.push_back(h->id);
+        }
+    }
+    std::ranges::sort(ranked, {}, rank_of);
+    ranked.resize(std::min(ranked.size(), watchers_per_domain));
+    return std::ranges::find(ranked, state.self.host) != ranked.end();
+}
+
+void tick_fleet(control_state& state, const event& e, effects& out)
+{
+    auto& f = state.fleet;
+    const bool should_watch = state.stage == life_stage::starting || is_watcher(state);
+    if (should_watch && !f.watch_running && e.now >= f.next_watch) {
+        f.watch_running = true;
+        const auto wait = f.envelope ? watch_wait : std::chrono::milliseconds{0};
+        out.emplace_back(watch_fleet_effect{f.platform_version, wait});
+    }
+    if (state.stage == life_stage::starting && !f.envelope) {
+        for (const auto& seed : state.self.seeds) {
+            out.emplace_back(fetch_fleet_effect{seed});
+        }
+    }
+}
+
+void take_fleet_read(control_state& state, const event& e, const fleet_read_event& read,
+                     effects& out)
+{
+    auto& f = state.fleet;
+    f.watch_running = false;
+    f.platform_answered = true;
+    const auto code = code_of(read.object);
+    const bool answered = code == result_code::ok || code == result_code::platform_not_found;
+    f.platform_reachable = answered;
+    f.failures = answered ? 0 : f.failures + 1;
+    f.next_watch = answered && f.envelope ? e.now : e.now + backoff(state);
+    if (code == result_code::ok) {
+        const auto& object = value_of(read.object);
+        f.platform_version = object.version;
+        const auto envelope = decode_fleet_envelope(object.body);
+        if (succeeded(envelope)) {
+            adopt(state, e, value_of(envelope), "platform", out);
+            restore_platform(state, e, value_of(envelope), out);
+        }
+    }
+    start_serving_if_ready(state, e, out);
+}
+
+void take_fleet_written(control_state& state, const fleet_written_event& written)
+{
+    state.fleet.write_running = false;
+    if (succeeded(written.version)) {
+        state.fleet.platform_version = value_of(written.version);
+    }
+}
+
+void take_peer_fleet(control_state& state, const event& e, const peer_fleet_event& answer,
+                     effects& out)
+{
+    if (succeeded(answer.envelope) && value_of(answer.envelope).number.value > 0) {
+        adopt(state, e, value_of(answer.envelope), answer.peer, out);
+    }
+    start_serving_if_ready(state, e, out);
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/control/reducer.cpp
@@ -0,0 +1,103 @@
+#include "control/reducer.h"
+
+#include "control/decisions.h"
+#include "control/fleet_adoption.h"
+#include "control/membership.h"
+#include "control/snapshot_builder.h"
+#include "control/target_health.h"
+
+namespace almondquay {
+
+namespace {
+
+template <class... Handlers> struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+void request_stop(control_state& state, const event& e, effects& out)
+{
+    const bool is_stopping =
+        state.stage == life_stage::leaving || state.stage == life_stage::ending;
+    if (is_stopping) {
+        return;
+    }
+    const auto grace = state.fleet.text.settings.lookup_ttl + leave_margin;
+    state.stage = life_stage::leaving;
+    state.leave_deadline = e.now + grace;
+    state.snapshot_is_stale = true;
+    state.stop_decision = decide(state, out, e.wall,
+                                 {"leave",
+                                  "a stopping host serves until callers have forgotten its address",
+                                  "This host leaves: it vanishes from look-ups and still serves.",
+                                  {},
+                                  {{"grace_ms", std::to_string(grace.count())}}});
+    announce(state, out);
+}
+
+void tick_stop(control_state& state, const event& e, effects& out)
+{
+    if (state.stage == life_stage::leaving && e.now >= state.leave_deadline) {
+        state.stage = life_stage::ending;
+        decide(state, out, e.wall,
+               {"stop_traffic",
+                "after the grace no new request is taken",
+                "This host takes no new requests and ends the running ones.",
+                {state.stop_decision},
+                {}});
+        out.emplace_back(stop_traffic_effect{});
+    }
+}
+
+void end_process(control_state& state, const event& e, effects& out)
+{
+    decide(state, out, e.wall,
+           {"exit",
+            "a host exits once its last request has ended",
+            "This host exits.",
+            {state.stop_decision},
+            {}});
+    out.emplace_back(exit_effect{});
+}
+
+void tick(control_state& state, const event& e, effects& out)
+{
+    tick_membership(state, e, out);
+    tick_fleet(state, e, out);
+    tick_health(state, e, out);
+    tick_stop(state, e, out);
+}
+
+} // namespace
+
+control_state make_control_state(host_identity self, std::uint64_t seed)
+{
+    control_state state;
+    state.self = std::move(self);
+    state.random.seed(seed);
+    return state;
+}
+
+effects reduce(control_state& state, const event& e)
+{
+    effects out;
+    std::visit(
+        overloaded{
+            [&](const tick_event&) { tick(state, e, out); },
+            [&](const fleet_read_event& body) { take_fleet_read(state, e, body, out); },
+            [&](const fleet_written_event& body) { take_fleet_written(state, body); },
+            [&](const peer_fleet_event& body) { take_peer_fleet(state, e, body, out); },
+            [&](const gossip_event& body) { take_gossip(state, e, body.message, out); },
+            [&](const target_report_event& body) { take_target_report(state, e, body, out); },
+            [&](const probe_ended_event& body) { take_probe(state, e, body, out); },
+            [&](const stop_requested_event&) { request_stop(state, e, out); },
+            [&](const traffic_ended_event&) { end_process(state, e, out); },
+        },
+        e.body);
+    if (state.snapshot_is_stale) {
+        state.snapshot_is_stale = false;
+        out.emplace_back(publish_effect{build_snapshot(state)});
+    }
+    return out;
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/control/target_health.cpp
@@ -0,0 +1,124 @@
+#include "control/target_health.h"
+
+#include "control/decisions.h"
+
+#include <algorithm>
+
+namespace almondquay {
+
+namespace {
+
+std::string_view name_of(target_evidence evidence)
+{
+    switch (evidence) {
+    case target_evidence::served:
+        return "served";
+    case target_evidence::connect_failed:
+        return "connect_failed";
+    case target_evidence::answer_lost:
+        return "answer_lost";
+    }
+    return "unknown";
+}
+
+void eject(control_state& state, const event& e, const target_report_event& report,
+           target_health& health, effects& out)
+{
+    health.usable = false;
+    health.good_probes = 0;
+    health.next_probe = e.now + probe_interval;
+    state.snapshot_is_stale = true;
+    health.decided_by =
+        decide(state, out, e.wall,
+               {"eject_target",
+                "a target that failed several times in a row gets no work",
+                "Target " + report.target.value + " gets no work until probes succeed.",
+                {state.fleet.adopted_by},
+                {{"failures", std::to_string(health.failures)},
+                 {"latest", std::string(name_of(report.evidence))}}});
+}
+
+void readmit(control_state& state, const event& e, const target_id& id, target_health& health,
+             effects& out)
+{
+    health.usable = true;
+    health.failures = 0;
+    state.snapshot_is_stale = true;
+    health.decided_by = decide(state, out, e.wall,
+                               {"readmit_target",
+                                "an ejected target that answers several probes gets work again",
+                                "Target " + id.value + " gets work again.",
+                                {health.decided_by},
+                                {{"good_probes", std::to_string(health.good_probes)}}});
+}
+
+} // namespace
+
+void take_target_report(control_state& state, const event& e, const target_report_event& report,
+                        effects& out)
+{
+    if (!state.fleet.text.targets.contains(report.target)) {
+        return;
+    }
+    auto& health = state.targets[report.target];
+    if (report.evidence == target_evidence::served) {
+        health.failures = 0;
+        return;
+    }
+    ++health.failures;
+    if (health.usable && health.failures >= failures_to_eject) {
+        eject(state, e, report, health, out);
+    }
+}
+
+void take_probe(control_state& state, const event& e, const probe_ended_event& probe, effects& out)
+{
+    const auto found = state.targets.find(probe.target);
+    if (found == state.targets.end()) {
+        return;
+    }
+    auto& health = found->second;
+    health.probe_running = false;
+    health.good_probes = probe.answered ? health.good_probes + 1 : 0;
+    if (!health.usable && health.good_probes >= probes_to_return) {
+        readmit(state, e, probe.target, health, out);
+    }
+}
+
+void tick_health(control_state& state, const event& e, effects& out)
+{
+    for (auto& [id, health] : state.targets) {
+        const auto t = state.fleet.text.targets.find(id);
+        const bool is_due = !health.usable && !health.probe_running && e.now >= health.next_probe;
+        if (is_due && t != state.fleet.text.targets.end()) {
+            health.probe_running = true;
+            health.next_probe = e.now + probe_interval;
+            out.emplace_back(probe_effect{id, t->second.address});
+        }
+    }
+}
+
+std::set<target_id> dead_targets(const control_state& state)
+{
+    std::map<service_id, std::size_t> all;
+    std::map<service_id, std::set<target_id>> dead;
+    for (const auto& [id, t] : state.fleet.text.targets) {
+        if (t.domain != state.self.domain) {
+            continue;
+        }
+        ++all[t.serves];
+        const auto health = state.targets.find(id);
+        if (health != state.targets.end() && !health->second.usable) {
+            dead[t.serves].insert(id);
+        }
+    }
+    std::set<target_id> believed;
+    for (const auto& [id, targets] : dead) {
+        if (2 * targets.size() <= all[id]) {
+            believed.insert(targets.begin(), targets.end());
+        }
+    }
+    return believed;
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/http/client.cpp
@@ -0,0 +1,182 @@
+#include "http/client.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace almondquay::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using beast_request = beast::http::request<beast::http::string_body>;
+using beast_response = beast::http::response<beast::http::string_body>;
+
+constexpr std::size_t max_idle_per_endpoint = 8;
+constexpr std::size_t max_response_bytes = 16UL * 1024 * 1024;
+/// Connections idle for longer are not used again; the other end may have dropped them.
+constexpr std::chrono::seconds max_idle{20};
+
+struct idle_connection {
+    std::unique_ptr<beast::tcp_stream> stream;
+    std::chrono::steady_clock::time_point since;
+};
+
+} // namespace
+
+struct client::shared_state {
+    asio::io_context* io = nullptr;
+    std::map<endpoint, std::vector<idle_connection>> idle;
+};
+
+namespace {
+
+using state_ptr = std::shared_ptr<client::shared_state>;
+
+std::unique_ptr<beast::tcp_stream> take_idle(client::shared_state& state, const endpoint& to)
+{
+    auto& connections = state.idle[to];
+    while (!connections.empty()) {
+        auto last = std::move(connections.back());
+        connections.pop_back();
+        if (std::chrono::steady_clock::now() - last.since < max_idle) {
+            return std::move(last.stream);
+        }
+    }
+    return nullptr;
+}
+
+void keep_idle(client::shared_state& state, const endpoint& to,
+               std::unique_ptr<beast::tcp_stream> stream)
+{
+    auto& connections = state.idle[to];
+    if (connections.size() < max_idle_per_endpoint) {
+        stream->expires_never();
+        connections.push_back({std::move(stream), std::chrono::steady_clock::now()});
+    }
+}
+
+beast_request to_beast(const request& r, const endpoint& to)
+{
+    beast_request message{beast::http::string_to_verb(r.method), r.path, 11};
+    message.set(beast::http::field::host, to_string(to));
+    for (const auto& h : r.headers) {
+        message.insert(h.name, h.value);
+    }
+    message.body() = r.body;
+    message.prepare_payload();
+    return message;
+}
+
+response from_beast(beast_response&& message)
+{
+    response r;
+    r.status = message.result_int();
+    for (const auto& f : message) {
+        r.headers.push_back({std::string(f.name_string()), std::string(f.value())});
+    }
+    r.body = std::move(message.body());
+    return r;
+}
+
+struct attempt {
+    error_code problem;
+    bool sent = false;
+    bool keep_alive = false;
+    std::optional<response> answer;
+};
+
+asio::awaitable<attempt> exchange(beast::tcp_stream& stream, const beast_request& message)
+{
+    attempt a;
+    a.sent = true;
+    co_await beast::http::async_write(stream, message,
+                                      asio::redirect_error(asio::use_awaitable, a.problem));
+    if (a.problem) {
+        co_return a;
+    }
+    beast::flat_buffer buffer;
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(max_response_bytes);
+    co_await beast::http::async_read(stream, buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, a.problem));
+    if (!a.problem) {
+        a.keep_alive = parser.get().keep_alive() && buffer.size() == 0;
+        a.answer = from_beast(parser.release());
+    }
+    co_return a;
+}
+
+result<response> to_result(attempt&& a, const endpoint& to)
+{
+    if (a.answer) {
+        return std::move(*a.answer);
+    }
+    const auto code = a.sent ? result_code::peer_answer_lost : result_code::peer_unreachable;
+    return error{code, to_string(to) + ": " + a.problem.message()};
+}
+
+asio::awaitable<void> run(state_ptr state, endpoint to, request r,
+                          std::chrono::milliseconds timeout, response_handler handler)
+{
+    const auto message = to_beast(r, to);
+    attempt a;
+    auto stream = take_idle(*state, to);
+    if (stream) {
+        stream->expires_after(timeout);
+        a = co_await exchange(*stream, message);
+    }
+    // A kept connection may have been closed by the other end meanwhile. Only reads are sent
+    // anew, since nobody can tell whether anything else has arrived.
+    const bool is_stale = a.problem && a.problem != beast::error::timeout;
+    if (!stream || (is_stale && r.method == "GET")) {
+        a = attempt{};
+        stream = std::make_unique<beast::tcp_stream>(*state->io);
+        stream->expires_after(timeout);
+        const tcp::endpoint address(asio::ip::make_address(to.address), to.port);
+        co_await stream->async_connect(address,
+                                       asio::redirect_error(asio::use_awaitable, a.problem));
+        if (!a.problem) {
+            stream->socket().set_option(tcp::no_delay(true), a.problem);
+            a = co_await exchange(*stream, message);
+        }
+    }
+    if (a.answer && a.keep_alive) {
+        keep_idle(*state, to, std::move(stream));
+    }
+    handler(to_result(std::move(a), to));
+}
+
+} // namespace
+
+std::unique_ptr<client> client::create(asio::io_context& io)
+{
+    auto state = std::make_shared<shared_state>();
+    state->io = &io;
+    return std::unique_ptr<client>(new client(std::move(state)));
+}
+
+client::client(std::shared_ptr<shared_state> state) : state_(std::move(state)) {}
+
+client::~client() = default;
+
+void client::send(const endpoint& to, request r, std::chrono::milliseconds timeout,
+                  response_handler handler)
+{
+    asio::co_spawn(*state_->io, run(state_, to, std::move(r), timeout, std::move(handler)),
+                   asio::detached);
+}
+
+} // namespace almondquay::http
--- /dev/null
+++ b/source/http/message.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Small whole messages, for everything but callers' streamed traffic.
+namespace almondquay::http {
+
+struct header {
+    std::string name;
+    std::string value;
+};
+
+struct request {
+    std::string method;
+    std::string path; ///< with the query, as it stands in the request line
+    std::vector<header> headers;
+    std::string body;
+};
+
+struct response {
+    unsigned status = 0;
+    std::vector<header> headers;
+    std::string body;
+};
+
+inline constexpr unsigned status_ok = 200;
+inline constexpr unsigned status_created = 201;
+inline constexpr unsigned status_no_content = 204;
+inline constexpr unsigned status_bad_request = 400;
+inline constexpr unsigned status_forbidden = 403;
+inline constexpr unsigned status_not_found = 404;
+inline constexpr unsigned status_conflict = 409;
+inline constexpr unsigned status_precondition_failed = 412;
+inline constexpr unsigned status_too_many_requests = 429;
+inline constexpr unsigned status_unavailable = 503;
+
+/// The value of the first header of this name, ignoring case; empty if there is none.
+std::string_view header_of(const std::vector<header>& headers, std::string_view name);
+
+/// A request path taken apart: "/lookup?service=ledger" has one parameter.
+struct path_parts {
+    std::string path;
+    std::vector<header> parameters;
+};
+
+/// Splits path and query and undoes percent encoding; a broken escape stays as it is.
+path_parts split_path(std::string_view path);
+
+/// Escapes all but letters, digits and "-_.~/" for use in a path or query.
+std::string percent_encoded(std::string_view text);
+
+} // namespace almondquay::http
--- /dev/null
+++ b/source/logging/log.cpp
@@ -0,0 +1,115 @@
+#include "logging/log.h"
+
+#include <algorithm>
+#include <cctype>
+#include <iostream>
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/date_time/posix_time/posix_time.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
+
+namespace almondquay::log {
+
+namespace {
+
+namespace sinks = boost::log::sinks;
+namespace trivial = boost::log::trivial;
+
+std::string& process_name()
+{
+    static std::string name;
+    return name;
+}
+
+trivial::severity_level severity_of(level l)
+{
+    switch (l) {
+    case level::debug:
+        return trivial::debug;
+    case level::info:
+        return trivial::info;
+    case level::warning:
+        return trivial::warning;
+    case level::error:
+        return trivial::error;
+    }
+    return trivial::error;
+}
+
+} // namespace
+
+void start(level lowest, std::string process)
+{
+    process_name() = std::move(process);
+    auto backend = boost::make_shared<sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend);
+    boost::log::core::get()->remove_all_sinks();
+    boost::log::core::get()->add_sink(sink);
+    boost::log::core::get()->set_filter(trivial::severity >= severity_of(lowest));
+}
+
+void write(level l, std::string_view event, std::initializer_list<field> fields)
+{
+    boost::log::sources::severity_logger_mt<trivial::severity_level>& logger =
+        trivial::logger::get();
+    const auto severity = severity_of(l);
+    boost::log::record record = logger.open_record(boost::log::keywords::severity = severity);
+    if (!record) {
+        return;
+    }
+    boost::log::record_ostream stream(record);
+    const auto now = boost::posix_time::microsec_clock::universal_time();
+    stream << "time=" << boost::posix_time::to_iso_extended_string(now) << "Z level=" << severity
+           << " process=" << quoted(process_name()) << " event=" << event;
+    for (const auto& f : fields) {
+        stream << ' ' << f.key << '=' << quoted(f.value);
+    }
+    stream.flush();
+    logger.push_record(std::move(record));
+}
+
+level parse_level(std::string_view word)
+{
+    if (word == "debug") {
+        return level::debug;
+    }
+    if (word == "warning") {
+        return level::warning;
+    }
+    return word == "error" ? level::error : level::info;
+}
+
+std::string quoted(std::string_view value)
+{
+    const auto is_plain = [](unsigned char c) {
+        return std::isgraph(c) != 0 && c != '"' && c != '=' && c != '\\';
+    };
+    if (!value.empty() && std::ranges::all_of(value, is_plain)) {
+        return std::string(value);
+    }
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text = "\"";
+    for (const unsigned char c : value) {
+        if (c == '"' || c == '\\') {
+            text += '\\';
+            text += static_cast<char>(c);
+        } else if (std::iscntrl(c) != 0) {
+            text += "\\x";
+            text += digits[c >> 4U];
+            text += digits[c & 0x0fU];
+        } else {
+            text += static_cast<char>(c);
+        }
+    }
+    return text + "\"";
+}
+
+} // namespace almondquay::log
--- /dev/null
+++ b/source/peer/gossip_message.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "common/authentication.h"
+#include "common/hybrid_clock.h"
+#include "common/result.h"
+#include "common/strong_type.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What hosts tell each other unasked: who is alive and which configuration is in force.
+namespace almondquay {
+
+/// The latest that the sender knows of one host. A higher (life, beat) is newer.
+struct member_beat {
+    host_id id;
+    incarnation life;
+    std::uint64_t beat = 0;
+    bool leaving = false;
+
+    bool operator==(const member_beat&) const = default;
+};
+
+struct gossip_message {
+    host_id from;
+    hybrid_time time;
+    generation in_force;           ///< 0 while the sender has none
+    std::uint64_t fingerprint = 0; ///< of the envelope in force
+    std::vector<member_beat> beats;
+
+    bool operator==(const gossip_message&) const = default;
+};
+
+/// Datagrams stay below the usual path MTU less headers; a longer list is cut by the sender.
+constexpr std::size_t max_datagram_bytes = 1'400;
+constexpr std::size_t max_beats_per_message = 24;
+
+/// Signed CBOR. The signature covers all that follows it.
+std::string encode(const gossip_message& message, const shared_secret& secret);
+
+/// Errors: peer_unauthenticated, peer_message_malformed.
+result<gossip_message> decode_gossip(std::string_view datagram, const shared_secret& secret);
+
+} // namespace almondquay
--- /dev/null
+++ b/source/peer/host_status.cpp
@@ -0,0 +1,27 @@
+#include "peer/host_status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almondquay {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_status, id, alive, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_status, id, service, usable, why, in_flight, share)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(host_status, host, domain, life, in_force, fingerprint,
+                                   in_force_since_ms, ready, leaving, platform_reachable,
+                                   decisions_dropped, members, targets)
+
+std::string encode(const host_status& status)
+{
+    return nlohmann::json(status).dump();
+}
+
+result<host_status> decode_host_status(std::string_view text)
+{
+    try {
+        return nlohmann::json::parse(text).get<host_status>();
+    } catch (const nlohmann::json::exception& problem) {
+        return error{result_code::peer_message_malformed, problem.what()};
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/platform/http_object_store.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "http/client.h"
+#include "platform/object_store.h"
+
+#include <memory>
+
+namespace almondquay {
+
+/// Calls that were sent, by kind; a waiting watch counts as one, as the platform counts it.
+struct platform_call_counts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+};
+
+/// The object API over HTTP: GET, PUT and DELETE of /v1/objects/KEY with If-Match and
+/// If-None-Match, versions in ETag, and a watch as a GET that waits.
+class http_object_store final : public object_store {
+public:
+    static std::unique_ptr<http_object_store> create(boost::asio::io_context& io,
+                                                     const endpoint& platform,
+                                                     std::chrono::milliseconds timeout);
+
+    void get(const std::string& key, object_handler handler) override;
+    void create(const std::string& key, std::string body, version_handler handler) override;
+    void update(const std::string& key, object_version expected, std::string body,
+                version_handler handler) override;
+    void remove(const std::string& key, object_version expected, done_handler handler) override;
+    void watch(const std::string& key, object_version known, std::chrono::milliseconds wait,
+               object_handler handler) override;
+
+    const platform_call_counts& counts() const { return counts_; }
+
+private:
+    http_object_store(boost::asio::io_context& io, endpoint platform,
+                      std::chrono::milliseconds timeout);
+
+    void put(const std::string& key, http::header condition, std::string body,
+             version_handler handler);
+
+    std::unique_ptr<http::client> client_;
+    endpoint platform_;
+    std::chrono::milliseconds timeout_;
+    platform_call_counts counts_;
+};
+
+} // namespace almondquay
--- /dev/null
+++ b/source/platform/object_store.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "common/result.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+/// The platform's object API behind one narrow interface.
+namespace almondquay {
+
+/// The platform's own counter of changes; it says nothing about which fleet text is newer.
+using object_version = std::uint64_t;
+
+struct stored_object {
+    std::string key;
+    object_version version = 0;
+    std::string body;
+
+    bool operator==(const stored_object&) const = default;
+};
+
+using object_handler = std::function<void(result<stored_object>)>;
+using version_handler = std::function<void(result<object_version>)>;
+using done_handler = std::function<void(result<done>)>;
+
+/// Every call ends once, at the latest after its timeout. Errors of all calls:
+/// platform_unavailable and platform_rate_limited (no effect), platform_answer_lost (a write may
+/// have taken effect), platform_bad_answer.
+class object_store {
+public:
+    virtual ~object_store() = default;
+
+    /// Further errors: platform_not_found.
+    virtual void get(const std::string& key, object_handler handler) = 0;
+
+    /// Creates an object that does not exist yet. Further errors: platform_conflict.
+    virtual void create(const std::string& key, std::string body, version_handler handler) = 0;
+
+    /// Replaces the object if it still has version `expected`. Further errors:
+    /// platform_conflict, also if the object is gone.
+    virtual void update(const std::string& key, object_version expected, std::string body,
+                        version_handler handler) = 0;
+
+    /// Deletes the object if it still has version `expected`. Further errors: platform_conflict.
+    virtual void remove(const std::string& key, object_version expected, done_handler handler) = 0;
+
+    /// Waits until the object's version differs from `known`, at most for `wait`. Further errors:
+    /// platform_not_found if nothing changed in that time.
+    virtual void watch(const std::string& key, object_version known, std::chrono::milliseconds wait,
+                       object_handler handler) = 0;
+};
+
+} // namespace almondquay
--- /dev/null
+++ b/source/steering/routing_snapshot.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "config/fleet.h"
+#include "steering/block_table.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+/// What the traffic threads need to know, published whole and never changed afterwards.
+namespace almondquay {
+
+/// One target of this host's failure domain and what this host may use of it.
+struct target_route {
+    target_id id;
+    endpoint address;
+    std::uint32_t slots = 0;       ///< this host's share
+    std::uint32_t connections = 0; ///< this host's share
+    bool usable = false;
+    bool sheds_unrun = false;
+};
+
+struct service_routes {
+    service definition;
+    std::vector<target_route> targets;
+    std::map<region_id, std::string> lookup_answers; ///< JSON, by the caller's region
+};
+
+struct routing_snapshot
+    : boost::intrusive_ref_counter<routing_snapshot, boost::thread_safe_counter> {
+    generation in_force;
+    bool ready = false;
+    bool leaving = false;
+    region_id home;
+    block_table_ptr blocks;
+    std::map<std::string, service_routes, std::less<>> services;
+};
+
+using snapshot_ptr = boost::intrusive_ptr<const routing_snapshot>;
+
+/// The look-up answer for a service and a caller's address; callers outside all blocks are
+/// treated as near this host. nullptr if the service is unknown.
+const std::string* find_lookup_answer(const routing_snapshot& snapshot, std::string_view service,
+                                      std::string_view caller_address);
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/forward.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "traffic/outcome.h"
+#include "traffic/worker.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Carries one caller's request to a target and the answer back.
+namespace almondquay {
+
+using caller_parser = beast::http::request_parser<beast::http::buffer_body>;
+
+/// Bodies up to this size are held in memory, so that they can be sent a second time; what is
+/// larger passes through in pieces of this size.
+constexpr std::size_t body_piece_bytes = 64UL * 1024;
+
+/// A request whose header and first piece of body have been read.
+struct caller_request {
+    caller_connection* caller = nullptr;
+    caller_parser* parser = nullptr; ///< reads the rest of a body that does not fit
+    std::string service;
+    std::chrono::steady_clock::time_point deadline;
+    bool repeatable = false;
+    bool keep_alive = false;
+    std::string body; ///< the first piece
+    bool body_is_complete = false;
+};
+
+/// An answer that was passed on whole, kept for a caller that asks again.
+struct kept_answer {
+    unsigned status = 0;
+    std::string content_type;
+    std::string body;
+};
+
+/// How a request ended.
+struct forward_end {
+    result_code code = result_code::ok;
+    outcome what = outcome::not_run;
+    bool answered = false;           ///< the caller has (at least part of) the target's answer
+    bool caller_usable = true;       ///< the caller's connection can carry another request
+    std::optional<kept_answer> kept; ///< only for requests that must not repeat
+};
+
+/// Finds a target, sends the request and passes the answer on as it comes. Retries within the
+/// deadline and the service's budget: a repeatable request after any failure before the answer
+/// has begun, others only after a proven "not run".
+asio::awaitable<forward_end> forward(worker& w, caller_request& request);
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/slot_pool.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "steering/routing_snapshot.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/intrusive/list.hpp>
+
+/// This host's share of the targets' slots, common to all traffic threads.
+namespace almondquay {
+
+/// Leave to run one request on a target. Must be given back exactly once.
+struct slot {
+    std::string service;
+    target_id target;
+    endpoint address;
+    bool sheds_unrun = false;
+};
+
+/// A request that waits for a slot. Lives in its coroutine; the pool only links it.
+struct slot_waiter
+    : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    std::vector<target_id> excluded; ///< targets that have failed this request already
+    std::function<void()> wake;      ///< called once from any thread when `granted` is set
+    std::optional<slot> granted;
+};
+
+/// All functions may be called from any thread.
+class slot_pool {
+public:
+    static std::unique_ptr<slot_pool> create();
+    ~slot_pool();
+    slot_pool(const slot_pool&) = delete;
+    slot_pool& operator=(const slot_pool&) = delete;
+
+    /// Takes over limits and usability. Slots in use beyond a lower limit are not taken away,
+    /// but no new one is given until enough have come back.
+    void apply(const routing_snapshot& snapshot);
+
+    /// A slot of the least used target, or nothing if all are busy, unusable or excluded.
+    std::optional<slot> try_take(std::string_view service, const std::vector<target_id>& excluded);
+
+    /// Queues the waiter. False if the queue is full, which the caller answers at once.
+    bool enqueue(std::string_view service, slot_waiter& waiter);
+
+    /// Takes the waiter out of the queue. A slot granted meanwhile stays in `granted`.
+    void cancel(std::string_view service, slot_waiter& waiter);
+
+    void give_back(const slot& s);
+
+    /// Requests that run on the target from this host.
+    std::uint32_t in_flight(const target_id& target) const;
+
+    /// Whether the service has at least one usable target with a share here.
+    bool has_usable_target(std::string_view service) const;
+
+    struct shared_state;
+
+private:
+    slot_pool();
+
+    std::unique_ptr<shared_state> state_;
+};
+
+/// Waiters for each slot of a service; more would only wait past their deadlines.
+constexpr std::size_t waiters_per_slot = 8;
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/traffic_server.cpp
@@ -0,0 +1,96 @@
+#include "traffic/traffic_server.h"
+
+#include "traffic/worker.h"
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+namespace almondquay {
+
+namespace {
+
+using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+struct running_worker {
+    explicit running_worker(traffic_context context)
+        : state(std::move(context)), guard(asio::make_work_guard(state.io))
+    {
+    }
+
+    worker state;
+    work_guard guard;
+    std::thread thread;
+};
+
+} // namespace
+
+struct traffic_server::shared_state {
+    std::unique_ptr<slot_pool> slots;
+    std::vector<std::unique_ptr<running_worker>> workers;
+};
+
+result<std::unique_ptr<traffic_server>>
+traffic_server::create(const traffic_settings& settings, metrics::registry& metrics,
+                       std::function<void(target_report_event)> report)
+{
+    auto state = std::make_unique<shared_state>();
+    state->slots = slot_pool::create();
+    const traffic_context context{settings.host,      settings.listen, settings.max_connections,
+                                  state->slots.get(), &metrics,        std::move(report)};
+    for (std::uint32_t i = 0; i < settings.threads; ++i) {
+        auto w = std::make_unique<running_worker>(context);
+        const auto listening = start_listening(w->state);
+        if (!succeeded(listening)) {
+            return error_of(listening);
+        }
+        state->workers.push_back(std::move(w));
+    }
+    for (auto& w : state->workers) {
+        w->thread = std::thread([&io = w->state.io] { io.run(); });
+    }
+    return std::unique_ptr<traffic_server>(new traffic_server(std::move(state)));
+}
+
+traffic_server::traffic_server(std::unique_ptr<shared_state> state) : state_(std::move(state)) {}
+
+traffic_server::~traffic_server()
+{
+    for (auto& w : state_->workers) {
+        w->state.io.stop();
+    }
+    for (auto& w : state_->workers) {
+        w->thread.join();
+    }
+}
+
+void traffic_server::publish(const snapshot_ptr& snapshot)
+{
+    state_->slots->apply(*snapshot);
+    for (auto& w : state_->workers) {
+        asio::post(w->state.io, [w = &w->state, snapshot] { w->snapshot = snapshot; });
+    }
+}
+
+void traffic_server::stop(std::function<void()> on_drained)
+{
+    const auto left = std::make_shared<std::atomic<std::size_t>>(state_->workers.size());
+    const auto one_less = [left, on_drained = std::move(on_drained)] {
+        if (left->fetch_sub(1) == 1) {
+            on_drained();
+        }
+    };
+    for (auto& w : state_->workers) {
+        asio::post(w->state.io, [w = &w->state, one_less] { stop_listening(*w, one_less); });
+    }
+}
+
+std::uint32_t traffic_server::in_flight(const target_id& target) const
+{
+    return state_->slots->in_flight(target);
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/traffic_server.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "control/event.h"
+#include "metrics/registry.h"
+#include "steering/routing_snapshot.h"
+#include "traffic/slot_pool.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+/// The callers' side of an entry host: several threads that look up and forward.
+namespace almondquay {
+
+struct traffic_settings {
+    host_id host;
+    endpoint listen;
+    std::uint32_t threads = 1;
+    std::uint32_t max_connections = 1; ///< for each thread
+};
+
+class traffic_server {
+public:
+    /// Starts the threads. `report` is called from them. Errors: usage_error.
+    static result<std::unique_ptr<traffic_server>>
+    create(const traffic_settings& settings, metrics::registry& metrics,
+           std::function<void(target_report_event)> report);
+    ~traffic_server();
+    traffic_server(const traffic_server&) = delete;
+    traffic_server& operator=(const traffic_server&) = delete;
+
+    /// Gives all threads a new view. Called from the control thread.
+    void publish(const snapshot_ptr& snapshot);
+
+    /// Takes no further requests; `on_drained` is called from some thread after the last one.
+    void stop(std::function<void()> on_drained);
+
+    std::uint32_t in_flight(const target_id& target) const;
+
+    struct shared_state;
+
+private:
+    explicit traffic_server(std::unique_ptr<shared_state> state);
+
+    std::unique_ptr<shared_state> state_;
+};
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/upstream_pool.cpp
@@ -0,0 +1,98 @@
+#include "traffic/upstream_pool.h"
+
+#include <algorithm>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace almondquay {
+
+namespace {
+
+void release(upstream_connection* connection)
+{
+    intrusive_ptr_release(connection);
+}
+
+/// Whether the other end has closed the connection or sent something unasked.
+bool is_readable(upstream_connection& connection)
+{
+    char byte = 0;
+    const auto got =
+        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void set_options(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto limit = static_cast<unsigned>(unacknowledged_limit.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+}
+
+} // namespace
+
+upstream_pool::~upstream_pool()
+{
+    for (auto& [to, connections] : idle) {
+        connections.clear_and_dispose(release);
+    }
+}
+
+connection_ptr take_idle(upstream_pool& pool, const endpoint& to)
+{
+    const auto found = pool.idle.find(to);
+    if (found == pool.idle.end()) {
+        return nullptr;
+    }
+    auto& connections = found->second;
+    while (!connections.empty()) {
+        // The most recently used one is the least likely to be stale.
+        const connection_ptr latest(&connections.back(), false);
+        connections.pop_back();
+        const auto age = std::chrono::steady_clock::now() - latest->idle_since;
+        if (age < max_idle_time && !is_readable(*latest)) {
+            latest->reused = true;
+            return latest;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<connection_ptr> connect(upstream_pool& pool, endpoint to,
+                                        std::chrono::steady_clock::time_point deadline,
+                                        error_code& problem)
+{
+    connection_ptr connection(new upstream_connection(*pool.io));
+    const auto now = std::chrono::steady_clock::now();
+    connection->stream.expires_at(std::min(deadline, now + connect_timeout));
+    const tcp::endpoint address(asio::ip::make_address(to.address), to.port);
+    co_await connection->stream.async_connect(address, into(problem));
+    if (!problem) {
+        set_options(connection->stream.socket());
+    }
+    co_return connection;
+}
+
+void keep(upstream_pool& pool, const endpoint& to, const connection_ptr& connection)
+{
+    auto& connections = pool.idle[to];
+    if (connections.size() >= max_idle_connections || connection->buffer.size() != 0) {
+        return;
+    }
+    connection->stream.expires_never();
+    connection->idle_since = std::chrono::steady_clock::now();
+    intrusive_ptr_add_ref(connection.get()); // The list holds a count of its own.
+    connections.push_back(*connection);
+}
+
+void drop_idle(upstream_pool& pool, const endpoint& to)
+{
+    const auto found = pool.idle.find(to);
+    if (found != pool.idle.end()) {
+        found->second.clear_and_dispose(release);
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/worker.cpp
@@ -0,0 +1,118 @@
+#include "traffic/worker.h"
+
+#include "traffic/outcome.h"
+#include "traffic/session.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace almondquay {
+
+namespace {
+
+constexpr std::chrono::milliseconds accept_pause{50};
+
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+asio::awaitable<void> serve(worker& w, tcp::socket socket)
+{
+    caller_connection connection(std::move(socket));
+    w.callers.push_back(connection);
+    co_await serve_caller(w, connection);
+    w.callers.erase(w.callers.iterator_to(connection));
+    if (w.stopping && w.callers.empty() && w.on_drained) {
+        std::exchange(w.on_drained, nullptr)();
+    }
+}
+
+/// Tells a caller beyond the limit so; the short text fits any socket buffer.
+void turn_away(tcp::socket& socket)
+{
+    const auto code = result_code::too_many_connections;
+    const auto body = refusal_body(code, outcome::not_run);
+    const auto text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" +
+                      std::string(outcome_header) + ": not-run\r\n" + std::string(result_header) +
+                      ": " + std::to_string(static_cast<int>(code)) +
+                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(text), ignored);
+}
+
+asio::awaitable<void> accept_callers(worker& w)
+{
+    while (w.acceptor.is_open()) {
+        error_code problem;
+        tcp::socket socket(w.io);
+        co_await w.acceptor.async_accept(socket, into(problem));
+        if (problem == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (problem) {
+            // Out of descriptors, most likely. Idle connections to targets can be spared.
+            for (auto& [to, unused] : w.upstreams.idle) {
+                drop_idle(w.upstreams, to);
+            }
+            asio::steady_timer pause(w.io, accept_pause);
+            co_await pause.async_wait(into(problem));
+            continue;
+        }
+        if (w.callers.size() >= w.context.max_connections) {
+            turn_away(socket);
+            continue;
+        }
+        asio::co_spawn(w.io, serve(w, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+result<done> start_listening(worker& w)
+{
+    const auto& at = w.context.listen;
+    try {
+        const tcp::endpoint address(asio::ip::make_address(at.address), at.port);
+        w.acceptor.open(address.protocol());
+        w.acceptor.set_option(tcp::acceptor::reuse_address(true));
+        w.acceptor.set_option(reuse_port(true));
+        w.acceptor.bind(address);
+        w.acceptor.listen();
+    } catch (const boost::system::system_error& problem) {
+        return error{result_code::usage_error, to_string(at) + ": " + problem.what()};
+    }
+    asio::co_spawn(w.io, accept_callers(w), asio::detached);
+    return done{};
+}
+
+void stop_listening(worker& w, std::function<void()> on_drained)
+{
+    error_code ignored;
+    w.stopping = true;
+    w.acceptor.close(ignored);
+    if (w.callers.empty()) {
+        on_drained();
+        return;
+    }
+    w.on_drained = std::move(on_drained);
+    for (auto& caller : w.callers) {
+        if (!caller.in_request) {
+            caller.stream.cancel();
+        }
+    }
+}
+
+void report_target(worker& w, const target_id& target, target_evidence evidence)
+{
+    auto& failures = w.failing[target];
+    if (evidence != target_evidence::served) {
+        ++failures;
+        w.context.report({target, evidence});
+    } else if (failures != 0) {
+        failures = 0;
+        w.context.report({target, evidence});
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/worker.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "control/event.h"
+#include "metrics/registry.h"
+#include "steering/routing_snapshot.h"
+#include "traffic/retry_budget.h"
+#include "traffic/slot_pool.h"
+#include "traffic/upstream_pool.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+/// One traffic thread: its listener, its callers' connections and its view of the fleet.
+namespace almondquay {
+
+using target_report_handler = std::function<void(target_report_event)>;
+
+/// What all traffic threads share.
+struct traffic_context {
+    host_id host;
+    endpoint listen;
+    std::uint32_t max_connections = 0; ///< for each thread
+    slot_pool* slots = nullptr;
+    metrics::registry* metrics = nullptr;
+    target_report_handler report; ///< may be called from any thread
+};
+
+/// A caller's connection, linked while it is open so that a stop can reach it.
+struct caller_connection : boost::intrusive::list_base_hook<> {
+    explicit caller_connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool in_request = false;
+};
+
+/// All of it is used on the thread of `io` only.
+struct worker {
+    explicit worker(traffic_context shared)
+        : context(std::move(shared)), acceptor(io), upstreams(io)
+    {
+    }
+
+    traffic_context context;
+    asio::io_context io{1};
+    tcp::acceptor acceptor;
+    upstream_pool upstreams;
+    snapshot_ptr snapshot;
+    boost::intrusive::list<caller_connection> callers;
+    std::map<std::string, retry_budget, std::less<>> budgets;
+    std::map<target_id, unsigned> failing; ///< failures in a row seen by this thread
+    bool stopping = false;
+    std::function<void()> on_drained; ///< called once when the last connection has ended
+};
+
+/// Opens the listener and starts taking connections. Errors: usage_error.
+result<done> start_listening(worker& w);
+
+/// Takes no more connections, closes idle ones and calls `on_drained` after the last request.
+void stop_listening(worker& w, std::function<void()> on_drained);
+
+/// Passes on failures and the first success after failures.
+void report_target(worker& w, const target_id& target, target_evidence evidence);
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/fakes/fake_caller.cpp
@@ -0,0 +1,361 @@
+#include "caller_report.h"
+
+#include "common/endpoint.h"
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <sstream>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
+
+/// A stand-in for callers: looks up entry hosts, keeps the answer for its time to live, sends
+/// requests at a rate and checks each answer. With --direct it calls one address without look-up.
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using clock_type = std::chrono::steady_clock;
+
+constexpr std::chrono::seconds request_timeout{5};
+constexpr std::chrono::milliseconds lookup_timeout{500};
+
+struct options {
+    std::vector<almondquay::endpoint> seeds;
+    std::vector<almondquay::endpoint> direct;
+    std::string service;
+    std::string path;
+    std::string method;
+    std::string block;
+    double rate = 0;
+    double seconds = 0;
+    std::uint64_t bytes = 0;
+    unsigned connections = 1;
+    unsigned resends = 0;
+    bool keys = false;
+};
+
+struct choice {
+    almondquay::endpoint address;
+    unsigned weight = 0;
+};
+
+struct caller {
+    asio::io_context io{1};
+    options opts;
+    caller_report report;
+    std::vector<choice> hosts;
+    clock_type::time_point hosts_expire{};
+    clock_type::time_point start;
+    clock_type::time_point end;
+    std::uint64_t sent = 0;
+    std::mt19937_64 random{1};
+};
+
+struct connection {
+    explicit connection(asio::io_context& io) : stream(io) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    almondquay::endpoint to;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+auto into(error_code& problem)
+{
+    return asio::redirect_error(asio::use_awaitable, problem);
+}
+
+std::string random_key(caller& c)
+{
+    // RFC 9562 version 7: 48 bits of milliseconds, then version, variant and random bits.
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+    std::array<char, 96> text{};
+    const auto a = c.random();
+    const auto b = c.random();
+    std::snprintf(text.data(), text.size(), "%08llx-%04llx-7%03llx-8%03llx-%012llx",
+                  static_cast<unsigned long long>(ms) >> 16U,
+                  static_cast<unsigned long long>(ms) & 0xffffU,
+                  static_cast<unsigned long long>(a) & 0xfffU,
+                  static_cast<unsigned long long>(a >> 12U) & 0xfffU,
+                  static_cast<unsigned long long>(b) & 0xffffffffffffU);
+    return text.data();
+}
+
+asio::awaitable<connection_ptr> open(caller& c, almondquay::endpoint to,
+                                     std::chrono::milliseconds timeout, error_code& problem)
+{
+    auto fresh = std::make_unique<connection>(c.io);
+    fresh->to = to;
+    fresh->stream.expires_after(timeout);
+    const tcp::endpoint address(asio::ip::make_address(to.address), to.port);
+    co_await fresh->stream.async_connect(address, into(problem));
+    if (!problem) {
+        fresh->stream.socket().set_option(tcp::no_delay(true), problem);
+    }
+    co_return fresh;
+}
+
+void take_hosts(caller& c, const std::string& body)
+{
+    const auto answer = nlohmann::json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("hosts")) {
+        return;
+    }
+    c.hosts.clear();
+    for (const auto& host : answer["hosts"]) {
+        const auto address = almondquay::parse_endpoint(host["address"].get<std::string>());
+        c.hosts.push_back({almondquay::value_of(address), host["weight"].get<unsigned>()});
+    }
+    c.hosts_expire = clock_type::now() + std::chrono::milliseconds(answer["ttl_ms"].get<int>());
+}
+
+asio::awaitable<void> look_up(caller& c)
+{
+    auto seeds = c.opts.seeds;
+    std::ranges::shuffle(seeds, c.random);
+    for (const auto& seed : seeds) {
+        error_code problem;
+        auto fresh = co_await open(c, seed, lookup_timeout, problem);
+        if (problem) {
+            continue;
+        }
+        beast::http::request<beast::http::empty_body> request(
+            beast::http::verb::get,
+            "/.well-known/almondquay/lookup?service=" + c.opts.service + "&block=" + c.opts.block,
+            11);
+        co_await beast::http::async_write(fresh->stream, request, into(problem));
+        beast::http::response<beast::http::string_body> answer;
+        co_await beast::http::async_read(fresh->stream, fresh->buffer, answer, into(problem));
+        if (!problem && answer.result() == beast::http::status::ok) {
+            take_hosts(c, answer.body());
+            co_return;
+        }
+    }
+}
+
+/// A host by weight; hosts of weight 0 only if there is no other or `avoid` is all there is.
+almondquay::endpoint choose(caller& c, const almondquay::endpoint* avoid)
+{
+    std::vector<double> weights;
+    for (const auto& host : c.hosts) {
+        const bool is_avoided = avoid != nullptr && host.address == *avoid;
+        weights.push_back(is_avoided ? 0.0 : std::max(host.weight / 1.0, 1e-6));
+    }
+    if (weights.empty()) {
+        return {};
+    }
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    return c.hosts[pick(c.random)].address;
+}
+
+asio::awaitable<almondquay::endpoint> choose_host(caller& c, const almondquay::endpoint* avoid)
+{
+    if (!c.opts.direct.empty()) {
+        co_return c.opts.direct[c.random() % c.opts.direct.size()];
+    }
+    if (clock_type::now() >= c.hosts_expire) {
+        c.hosts_expire = clock_type::now() + lookup_timeout; // One look-up at a time.
+        co_await look_up(c);
+    }
+    co_return choose(c, avoid);
+}
+
+struct answer {
+    error_code problem;
+    bool sent = false;
+    bool keep_alive = false;
+    unsigned status = 0;
+    std::uint64_t length = 0;
+    std::string echo;
+    std::string outcome;
+    std::string result;
+};
+
+/// Reads a body of any size without keeping it.
+asio::awaitable<answer> exchange(connection& via,
+                                 const beast::http::request<beast::http::string_body>& request)
+{
+    answer a;
+    via.stream.expires_after(request_timeout);
+    a.sent = true;
+    co_await beast::http::async_write(via.stream, request, into(a.problem));
+    beast::http::response_parser<beast::http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    if (!a.problem) {
+        co_await beast::http::async_read_header(via.stream, via.buffer, parser, into(a.problem));
+    }
+    std::array<char, 65536> piece{};
+    while (!a.problem && !parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        co_await beast::http::async_read(via.stream, via.buffer, parser, into(a.problem));
+        if (a.problem == beast::http::error::need_buffer) {
+            a.problem = {};
+        }
+        a.length += piece.size() - parser.get().body().size;
+    }
+    a.status = parser.get().result_int();
+    a.echo = std::string(parser.get()["Echo"]);
+    a.outcome = std::string(parser.get()["Almondquay-Outcome"]);
+    a.result = std::string(parser.get()["Almondquay-Result"]);
+    a.keep_alive = !a.problem && parser.get().keep_alive();
+    co_return a;
+}
+
+void judge(caller& c, const answer& a, const std::string& echo, clock_type::time_point began)
+{
+    if (a.problem) {
+        ++c.report.lost;
+    } else if (a.status != 200) {
+        ++c.report.refused[a.outcome + " " + a.result];
+    } else if (a.echo != echo || a.length != c.opts.bytes) {
+        ++c.report.wrong;
+    } else {
+        ++c.report.served;
+        c.report.latencies.push_back(clock_type::now() - began);
+    }
+}
+
+beast::http::request<beast::http::string_body> make_request(caller& c, const std::string& echo,
+                                                            const std::string& key)
+{
+    const auto path = c.opts.path + (c.opts.path.find('?') == std::string::npos ? "?" : "&") +
+                      "bytes=" + std::to_string(c.opts.bytes) + "&echo=" + echo;
+    beast::http::request<beast::http::string_body> request(
+        beast::http::string_to_verb(c.opts.method), path, 11);
+    request.set(beast::http::field::host, c.opts.service);
+    if (!key.empty()) {
+        request.set("Idempotency-Key", key);
+        request.body() = "deposit";
+    }
+    request.prepare_payload();
+    return request;
+}
+
+/// A repeatable request, or one with a key, may be sent again elsewhere.
+bool may_resend(const caller& c, const answer& a)
+{
+    const bool unserved = a.problem || a.outcome == "not-run";
+    return unserved && (c.opts.method == "GET" || c.opts.keys || !a.sent || !a.problem);
+}
+
+asio::awaitable<void> send_one(caller& c, connection_ptr& kept)
+{
+    const auto echo = std::to_string(c.sent++);
+    const auto began = clock_type::now();
+    const auto request = make_request(c, echo, c.opts.keys ? random_key(c) : "");
+    answer a;
+    const almondquay::endpoint* avoid = nullptr;
+    almondquay::endpoint last;
+    for (unsigned tries = 0; tries <= c.opts.resends; ++tries) {
+        last = co_await choose_host(c, avoid);
+        a = answer{};
+        if (!kept || kept->to != last) {
+            kept = co_await open(c, last, request_timeout, a.problem);
+        }
+        if (!a.problem) {
+            a = co_await exchange(*kept, request);
+        }
+        if (!a.keep_alive) {
+            kept.reset();
+        }
+        if (!may_resend(c, a)) {
+            break;
+        }
+        avoid = &last;
+    }
+    judge(c, a, echo, began);
+}
+
+asio::awaitable<void> send_all(caller& c, unsigned index)
+{
+    connection_ptr kept;
+    asio::steady_timer timer(c.io);
+    const auto gap = std::chrono::duration_cast<clock_type::duration>(
+        std::chrono::duration<double>(c.opts.rate > 0 ? c.opts.connections / c.opts.rate : 0));
+    auto due = c.start + gap * index / c.opts.connections;
+    while (due < c.end && clock_type::now() < c.end) {
+        error_code ignored;
+        timer.expires_at(due);
+        if (c.opts.rate > 0) {
+            co_await timer.async_wait(into(ignored));
+        }
+        co_await send_one(c, kept);
+        due += gap;
+    }
+}
+
+std::vector<almondquay::endpoint> parse_all(const std::string& text)
+{
+    std::vector<almondquay::endpoint> all;
+    std::istringstream words(text);
+    for (std::string word; std::getline(words, word, ',');) {
+        all.push_back(almondquay::value_of(almondquay::parse_endpoint(word)));
+    }
+    return all;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine line("fake_caller: a stand-in for callers");
+    using text = TCLAP::ValueArg<std::string>;
+    text seeds("", "seeds", "entry hosts to ask", false, "", "LIST", line);
+    text direct("", "direct", "addresses to call without look-up", false, "", "LIST", line);
+    text service("", "service", "service", false, "ledger", "NAME", line);
+    text path("", "path", "path and query", false, "/", "PATH", line);
+    text method("", "method", "method", false, "GET", "METHOD", line);
+    text block("", "block", "caller's address", false, "127.1.0.1", "IP", line);
+    TCLAP::ValueArg<double> rate("", "rate", "requests a second, 0 for all", false, 0, "N", line);
+    TCLAP::ValueArg<double> seconds("", "seconds", "duration", false, 2, "N", line);
+    TCLAP::ValueArg<std::uint64_t> bytes("", "bytes", "size of answers", false, 100, "N", line);
+    TCLAP::ValueArg<unsigned> connections("", "connections", "at once", false, 8, "N", line);
+    TCLAP::ValueArg<unsigned> resends("", "resends", "tries after the first", false, 2, "N", line);
+    TCLAP::SwitchArg keys("", "keys", "give each request an idempotency key", line);
+    TCLAP::SwitchArg csv("", "csv", "one line of figures", line);
+    line.parse(argc, argv);
+    caller c;
+    c.opts = {parse_all(seeds.getValue()),
+              parse_all(direct.getValue()),
+              service.getValue(),
+              path.getValue(),
+              method.getValue(),
+              block.getValue(),
+              rate.getValue(),
+              seconds.getValue(),
+              bytes.getValue(),
+              connections.getValue(),
+              resends.getValue(),
+              keys.getValue()};
+    c.start = clock_type::now();
+    c.end = c.start + std::chrono::duration_cast<clock_type::duration>(
+                          std::chrono::duration<double>(c.opts.seconds));
+    for (unsigned i = 0; i < c.opts.connections; ++i) {
+        asio::co_spawn(c.io, send_all(c, i), asio::detached);
+    }
+    c.io.run();
+    if (csv.getValue()) {
+        print_csv(c.report, c.opts.seconds);
+    } else {
+        print_table(c.report);
+    }
+    return c.report.wrong == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/unit_tests/fakes/fake_target.cpp
@@ -0,0 +1,235 @@
+#include "common/endpoint.h"
+#include "http/message.h"
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <tclap/CmdLine.h>
+
+/// A stand-in for a target with a few slots. The query asks for work and faults:
+/// ms (time it takes), bytes (size of the answer), fault (cut, never, garbage, twice, exit).
+/// It counts its runs for each key, which makes it the oracle of "at most once".
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+namespace message = almondquay::http;
+
+struct target {
+    asio::io_context io{1};
+    std::uint32_t slots = 3;
+    std::uint32_t in_flight = 0;
+    std::uint32_t most_in_flight = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t over_limit = 0;
+    std::uint64_t cancelled = 0;
+    std::uint32_t connections = 0;
+    std::uint32_t most_connections = 0;
+    std::map<std::string, std::uint64_t> runs_by_key;
+};
+
+struct in_flight_guard {
+    explicit in_flight_guard(target& owner) : t(owner)
+    {
+        ++t.in_flight;
+        t.most_in_flight = std::max(t.most_in_flight, t.in_flight);
+        t.over_limit += t.in_flight > t.slots ? 1 : 0;
+    }
+    ~in_flight_guard() { --t.in_flight; }
+    in_flight_guard(const in_flight_guard&) = delete;
+    in_flight_guard& operator=(const in_flight_guard&) = delete;
+
+    target& t;
+};
+
+auto into(error_code& problem)
+{
+    return asio::redirect_error(asio::use_awaitable, problem);
+}
+
+std::uint64_t number(const message::path_parts& parts, std::string_view name, std::uint64_t other)
+{
+    const auto value = std::string(message::header_of(parts.parameters, name));
+    return value.empty() ? other : std::stoull(value);
+}
+
+std::string stats(const target& t)
+{
+    std::uint64_t repeated = 0;
+    for (const auto& [key, runs] : t.runs_by_key) {
+        repeated += runs > 1 ? 1 : 0;
+    }
+    return "runs " + std::to_string(t.runs) + "\nmost_in_flight " +
+           std::to_string(t.most_in_flight) + "\nover_limit " + std::to_string(t.over_limit) +
+           "\nkeys " + std::to_string(t.runs_by_key.size()) + "\nrepeated_keys " +
+           std::to_string(repeated) + "\ncancelled " + std::to_string(t.cancelled) +
+           "\nmost_connections " + std::to_string(t.most_connections) + "\n";
+}
+
+std::string head(std::uint64_t length, std::string_view echo)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nEcho: " + std::string(echo) +
+           "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+asio::awaitable<void> write_text(tcp::socket& socket, std::string text, error_code& problem)
+{
+    co_await asio::async_write(socket, asio::buffer(text), into(problem));
+}
+
+asio::awaitable<void> write_answer(tcp::socket& socket, std::uint64_t bytes, std::string echo,
+                                   error_code& problem)
+{
+    constexpr std::uint64_t piece_bytes = 64 * 1024;
+    const std::string piece(std::min(bytes, piece_bytes), 'x');
+    if (bytes <= piece_bytes) {
+        co_await write_text(socket, head(bytes, echo) + piece, problem);
+        co_return;
+    }
+    co_await write_text(socket, head(bytes, echo), problem);
+    for (std::uint64_t left = bytes; left > 0 && !problem;) {
+        const auto size = std::min(left, piece_bytes);
+        co_await asio::async_write(socket, asio::buffer(piece.data(), size), into(problem));
+        left -= size;
+    }
+}
+
+/// Works for the asked time; notices when the other end closes meanwhile.
+asio::awaitable<bool> work(target& t, tcp::socket& socket, std::chrono::milliseconds time)
+{
+    if (time.count() == 0) {
+        co_return true;
+    }
+    asio::steady_timer timer(t.io, time);
+    const auto gone = std::make_shared<bool>(false);
+    socket.async_wait(tcp::socket::wait_read, [gone, &timer](const error_code& problem) {
+        if (!problem) {
+            *gone = true;
+            timer.cancel();
+        }
+    });
+    error_code ignored;
+    co_await timer.async_wait(into(ignored));
+    socket.cancel(ignored);
+    co_await asio::post(t.io, asio::use_awaitable);
+    t.cancelled += *gone ? 1 : 0;
+    co_return !*gone;
+}
+
+asio::awaitable<void> serve_faulty(target& t, tcp::socket& socket, std::string fault,
+                                   error_code& problem)
+{
+    constexpr std::uint64_t promised = 1000;
+    if (fault == "exit") {
+        std::_Exit(1);
+    }
+    if (fault == "never") {
+        asio::steady_timer timer(t.io, std::chrono::hours(1));
+        co_await timer.async_wait(into(problem));
+    } else if (fault == "garbage") {
+        co_await write_text(socket, "\x01\x02 not http at all\r\n\r\n", problem);
+    } else if (fault == "cut") {
+        co_await write_text(socket, head(promised, "cut") + "half", problem);
+    } else if (fault == "twice") {
+        co_await write_text(socket, head(3, "one") + "one" + head(3, "two") + "two", problem);
+        co_return;
+    }
+    problem = asio::error::connection_aborted;
+}
+
+asio::awaitable<void> serve_one(target& t, tcp::socket& socket,
+                                const beast::http::request<beast::http::string_body>& request,
+                                error_code& problem)
+{
+    const auto path = request.target();
+    const auto parts = message::split_path({path.data(), path.size()});
+    if (parts.path == "/stats") {
+        const auto text = stats(t);
+        co_await write_text(socket, head(text.size(), "") + text, problem);
+        co_return;
+    }
+    if (parts.path == "/healthz") {
+        co_await write_text(socket, head(0, ""), problem);
+        co_return;
+    }
+    const in_flight_guard guard(t);
+    ++t.runs;
+    const auto key = request["Idempotency-Key"];
+    if (!key.empty()) {
+        ++t.runs_by_key[std::string(key)];
+    }
+    if (!co_await work(t, socket, std::chrono::milliseconds(number(parts, "ms", 0)))) {
+        problem = asio::error::eof;
+        co_return;
+    }
+    const auto fault = std::string(message::header_of(parts.parameters, "fault"));
+    if (!fault.empty()) {
+        co_await serve_faulty(t, socket, fault, problem);
+        co_return;
+    }
+    const auto echo = std::string(message::header_of(parts.parameters, "echo"));
+    co_await write_answer(socket, number(parts, "bytes", 100), echo, problem);
+}
+
+asio::awaitable<void> serve(target& t, tcp::socket socket)
+{
+    ++t.connections;
+    t.most_connections = std::max(t.most_connections, t.connections);
+    error_code problem;
+    socket.set_option(tcp::no_delay(true), problem);
+    beast::flat_buffer buffer;
+    while (!problem) {
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.body_limit(boost::none);
+        co_await beast::http::async_read(socket, buffer, parser, into(problem));
+        if (!problem) {
+            co_await serve_one(t, socket, parser.get(), problem);
+        }
+    }
+    --t.connections;
+}
+
+asio::awaitable<void> listen(target& t, almondquay::endpoint at)
+{
+    tcp::acceptor acceptor(t.io, {asio::ip::make_address(at.address), at.port});
+    while (true) {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(t.io, serve(t, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine command_line("fake_target: a stand-in for a target with a few slots");
+    TCLAP::ValueArg<std::string> at("l", "listen", "address", true, "", "IP:PORT", command_line);
+    TCLAP::ValueArg<std::uint32_t> slots("", "slots", "slots", false, 3, "N", command_line);
+    command_line.parse(argc, argv);
+    target t;
+    t.slots = slots.getValue();
+    asio::co_spawn(t.io, listen(t, almondquay::value_of(almondquay::parse_endpoint(at.getValue()))),
+                   asio::detached);
+    asio::signal_set signals(t.io, SIGTERM, SIGINT);
+    signals.async_wait([&t](const error_code&, int) { t.io.stop(); });
+    t.io.run();
+    return 0;
+}
