Claim work that must not repeat before it runs

Cause: a resend of a deposit or stamp could reach a second target; nothing made the first run known beyond its host. Change: a claim log in the platform (bucket by key hash, slice by the key's time, segments that are only appended to by conditional update and written over in place after the retention, never deleted). A bucket's owner gathers what arrives while a write is under way into the next write; ownership only saves calls. A refused claim is recorded as not run, so that a write whose answer was lost does not hold its key. Work that must not repeat is not cancelled when its caller goes away and its first answer is replayed to resends. Not yet: fault matrix, process faults, figures by rate.

--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -147,8 +147,11 @@
                                     {d.settings.address, d.settings.caller_port},
                                     d.settings.traffic_threads,
                                     d.settings.max_connections};
-    auto traffic = traffic_server::create(
-        settings, *d.metrics, [emit](target_report_event report) { emit(std::move(report)); });
+    const traffic_events events{
+        [emit](target_report_event report) { emit(std::move(report)); },
+        [emit](claim_wanted_event wanted) { emit(claim_event{std::move(wanted)}); },
+        [emit](claim_finished_event finished) { emit(claim_event{std::move(finished)}); }};
+    auto traffic = traffic_server::create(settings, *d.metrics, events);
     if (!succeeded(traffic)) {
         return error_of(traffic);
     }
@@ -172,7 +175,7 @@
         return caller_side;
     }
     d.rpc =
-        rpc_server::create(d.settings.secret, make_operator_api(d.state, d.timeline, *d.traffic));
+        rpc_server::create(d.settings.secret, make_operator_api(d.state, d.timeline, *d.traffic, emit));
     d.effects_runner = {&d.settings,     d.store.get(), d.client.get(), d.gossip.get(),
                         d.traffic.get(), &d.timeline,   emit,           [&d] { d.io.stop(); }};
     return done{};
--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -53,6 +53,35 @@
              });
 }
 
+void run(interpreter& i, const read_claims_effect& e)
+{
+    i.store->get(e.key, [emit = i.emit, call = e.call](result<stored_object> object) {
+        emit(claim_event{claim_read_event{call, std::move(object)}});
+    });
+}
+
+void run(interpreter& i, const write_claims_effect& e)
+{
+    const auto done = [emit = i.emit, call = e.call](result<object_version> version) {
+        emit(claim_event{claim_written_event{call, std::move(version)}});
+    };
+    if (e.expected) {
+        i.store->update(e.key, *e.expected, e.body, done);
+    } else {
+        i.store->create(e.key, e.body, done);
+    }
+}
+
+void run(interpreter& i, const send_claim_message_effect& e)
+{
+    // What the receiver has to say comes as a message of its own, and whoever misses it asks
+    // again, so the answer to the call says nothing.
+    call_rpc(*i.client, i.settings->secret, e.peer, "claim", encode(e.message), peer_timeout,
+             [](const result<std::string>&) {});
+}
+
+void run(interpreter& i, const claim_verdict_effect& e) { i.traffic->give_verdict(e); }
+
 void run(interpreter& i, const send_gossip_effect& e)
 {
     i.gossip->send(e.peer, e.message);
--- a/source/almondquayd/operator_api.cpp
+++ b/source/almondquayd/operator_api.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 rpc_methods make_operator_api(const control_state& state, const timeline_ring& timeline,
-                              const traffic_server& traffic)
+                              const traffic_server& traffic,
+                              std::function<void(event_body)> emit)
 {
     rpc_methods methods;
     methods["fleet"] = [&state](const std::string&) { return answer_fleet(state); };
@@ -33,6 +34,13 @@
     methods["timeline"] = [&timeline](const std::string&) {
         return encode(decisions_since(timeline, {}));
     };
+    methods["claim"] = [emit = std::move(emit)](const std::string& argument) {
+        auto message = decode_claim_message(argument);
+        if (succeeded(message)) {
+            emit(claim_event{claim_message_event{std::move(value_of(message))}});
+        }
+        return std::string(name_of(code_of(message)));
+    };
     return methods;
 }
 
--- a/source/almondquayd/operator_api.h
+++ b/source/almondquayd/operator_api.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/event.h"
 #include "control/state.h"
 #include "peer/rpc_server.h"
 #include "timeline/ring.h"
@@ -7,9 +8,10 @@
 
 namespace almondquay {
 
-/// The JSON-RPC methods of an entry host: "fleet", "status" and "timeline". All run on the
-/// control thread, so they see whole states.
+/// The JSON-RPC methods of an entry host: "fleet", "status", "timeline" and, between hosts,
+/// "claim". All run on the control thread, so they see whole states.
 rpc_methods make_operator_api(const control_state& state, const timeline_ring& timeline,
-                              const traffic_server& traffic);
+                              const traffic_server& traffic,
+                              std::function<void(event_body)> emit);
 
 } // namespace almondquay
--- /dev/null
+++ b/source/claims/claim_effect.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "claims/claim_message.h"
+#include "platform/object_store.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What the claim reducer wants done and what can happen to it.
+namespace almondquay {
+
+/// Numbers a claim within one life of this host; the traffic side uses it as a handle.
+using claim_number = std::uint64_t;
+
+/// Names one call of the platform, so that an answer that comes late or twice is told apart from
+/// the one that is waited for.
+using store_call = std::uint64_t;
+
+/// Reads one segment. Ends in a claim_read_event.
+struct read_claims_effect {
+    store_call call = 0;
+    std::string key;
+};
+
+/// Writes one segment if it has version `expected`, or creates it. Ends in a claim_written_event.
+struct write_claims_effect {
+    store_call call = 0;
+    std::string key;
+    std::optional<object_version> expected;
+    std::string body;
+};
+
+/// Sends a message to a host; nobody waits for it.
+struct claim_message_effect {
+    host_id to;
+    claim_message message;
+};
+
+/// Tells the waiting request what to do. Given at most once for each number.
+struct claim_verdict_effect {
+    std::uint64_t request = 0;
+    claim_number number = 0;
+    claim_verdict verdict;
+};
+
+using claim_effect = std::variant<read_claims_effect, write_claims_effect, claim_message_effect,
+                                  claim_verdict_effect>;
+using claim_effects = std::vector<claim_effect>;
+
+/// A request that must not repeat has arrived at this host.
+struct claim_wanted_event {
+    std::uint64_t request = 0; ///< the traffic side's name for it
+    claim_key key{};
+    std::uint64_t digest = 0;
+    monotonic_time deadline{};
+};
+
+/// A granted request has ended.
+struct claim_finished_event {
+    claim_number number = 0;
+    claim_end end = claim_end::unknown;
+    claim_answer answer;
+};
+
+struct claim_read_event {
+    store_call call = 0;
+    result<stored_object> object;
+};
+
+struct claim_written_event {
+    store_call call = 0;
+    result<object_version> version;
+};
+
+struct claim_message_event {
+    claim_message message;
+};
+
+struct claim_tick_event {};
+
+using claim_event = std::variant<claim_wanted_event, claim_finished_event, claim_read_event,
+                                 claim_written_event, claim_message_event, claim_tick_event>;
+
+} // namespace almondquay
--- /dev/null
+++ b/source/claims/claim_lane.cpp
@@ -0,0 +1,318 @@
+#include "claims/claim_lane.h"
+
+#include <algorithm>
+#include <set>
+
+namespace almondquay {
+
+namespace {
+
+constexpr unsigned max_doublings = 6;
+
+void refuse(lane_output& out, const pending_want& want, result_code code)
+{
+    out.verdicts.push_back({want.reply_to, want.claim.id, claim_refused{code}});
+}
+
+void start_read(claim_lane& lane, lane_output& out)
+{
+    lane.stage = lane_stage::reading;
+    lane.call = (*out.next_call)++;
+    out.store.emplace_back(read_claims_effect{lane.call, current_segment_key(lane)});
+}
+
+void pause(claim_lane& lane, monotonic_time now)
+{
+    const auto doubled = shortest_lane_pause * (1U << std::min(lane.failures, max_doublings));
+    ++lane.failures;
+    lane.stage = lane_stage::pausing;
+    lane.retry_at = now + std::min(doubled, longest_lane_pause);
+}
+
+void mark_views_settled(claim_lane& lane)
+{
+    for (auto& want : lane.wants) {
+        want.is_settled_view = true;
+    }
+}
+
+bool is_running(const claim_entry& entry, const live_lives& alive)
+{
+    const auto holder = alive.find(entry.id.host);
+    return holder != alive.end() && holder->second == entry.id.life;
+}
+
+claim_verdict verdict_for_ended(const claim_entry& entry)
+{
+    if (entry.end == claim_end::unknown) {
+        return claim_refused{result_code::claim_outcome_unknown};
+    }
+    if (!entry.answer.is_kept) {
+        return claim_refused{result_code::claim_answer_not_kept};
+    }
+    return claim_replayed{entry.answer};
+}
+
+enum class next_step { append, answer, look_again };
+
+struct settlement {
+    next_step step = next_step::append;
+    claim_verdict verdict;
+};
+
+settlement settle_against(const claim_entry& entry, const pending_want& want,
+                          const live_lives& alive)
+{
+    if (entry.id == want.claim.id && !entry.end) {
+        return {next_step::answer, claim_granted{}};
+    }
+    if (entry.digest != want.claim.digest) {
+        return {next_step::answer, claim_refused{result_code::key_reused}};
+    }
+    if (entry.end) {
+        return {next_step::answer, verdict_for_ended(entry)};
+    }
+    if (!want.is_settled_view) {
+        return {next_step::look_again, {}};
+    }
+    const auto code = is_running(entry, alive) ? result_code::claim_still_running
+                                              : result_code::claim_outcome_unknown;
+    return {next_step::answer, claim_refused{code}};
+}
+
+settlement settle(const claim_lane& lane, const pending_want& want, const live_lives& alive)
+{
+    if (lane.log.expired) {
+        return {next_step::answer, claim_refused{result_code::key_too_old}};
+    }
+    if (lane.log.void_ids.contains(want.claim.id)) {
+        return {next_step::answer, claim_refused{result_code::claim_store_unavailable}};
+    }
+    const auto entry = lane.log.entries.find(want.claim.key);
+    if (entry == lane.log.entries.end() || entry->second.end == claim_end::not_run) {
+        return {next_step::append, {}};
+    }
+    return settle_against(entry->second, want, alive);
+}
+
+/// Answers the claims that need no write. Returns whether one of them needs a fresh read.
+bool answer_settled(claim_lane& lane, const live_lives& alive, lane_output& out)
+{
+    bool look_again = false;
+    for (auto want = lane.wants.begin(); want != lane.wants.end();) {
+        const auto settled = settle(lane, *want, alive);
+        look_again = look_again || settled.step == next_step::look_again;
+        if (settled.step != next_step::answer) {
+            ++want;
+            continue;
+        }
+        out.verdicts.push_back({want->reply_to, want->claim.id, settled.verdict});
+        want = lane.wants.erase(want);
+    }
+    return look_again;
+}
+
+/// Acknowledges the outcomes that the log already has.
+void answer_kept_outcomes(claim_lane& lane, lane_output& out)
+{
+    const auto is_kept = [&](const pending_outcome& p) {
+        const auto entry = lane.log.entries.find(p.outcome.key);
+        const bool is_recorded = entry != lane.log.entries.end() &&
+                                 entry->second.id == p.outcome.id && entry->second.end.has_value();
+        return lane.log.expired || is_recorded || lane.log.void_ids.contains(p.outcome.id);
+    };
+    for (auto outcome = lane.outcomes.begin(); outcome != lane.outcomes.end();) {
+        if (!is_kept(*outcome)) {
+            ++outcome;
+            continue;
+        }
+        out.kept.push_back({outcome->reply_to, outcome->outcome.id});
+        outcome = lane.outcomes.erase(outcome);
+    }
+}
+
+/// Acknowledges the outcomes of a batch that is durable now.
+void answer_written_outcomes(claim_lane& lane, lane_output& out)
+{
+    for (const auto& record : lane.batch) {
+        const auto* written = std::get_if<outcome_record>(&record);
+        if (written == nullptr) {
+            continue;
+        }
+        const auto pending =
+            std::ranges::find(lane.outcomes, written->id,
+                              [](const pending_outcome& p) { return p.outcome.id; });
+        if (pending != lane.outcomes.end()) {
+            out.kept.push_back({pending->reply_to, written->id});
+            lane.outcomes.erase(pending);
+        }
+    }
+}
+
+std::vector<log_record> make_batch(const claim_lane& lane)
+{
+    std::vector<log_record> batch;
+    std::set<claim_key> keys;
+    for (const auto& outcome : lane.outcomes) {
+        if (batch.size() < max_batch_records) {
+            batch.emplace_back(outcome.outcome);
+        }
+    }
+    const bool has_claims = std::ranges::any_of(lane.wants, [&](const pending_want& want) {
+        const auto entry = lane.log.entries.find(want.claim.key);
+        return entry == lane.log.entries.end() || entry->second.end == claim_end::not_run;
+    });
+    if (!has_claims && !lane.outcomes_due) {
+        return {};
+    }
+    for (const auto& want : lane.wants) {
+        const auto entry = lane.log.entries.find(want.claim.key);
+        const bool is_free =
+            entry == lane.log.entries.end() || entry->second.end == claim_end::not_run;
+        // A second claim of the same key waits and is then answered from the log.
+        if (is_free && batch.size() < max_batch_records && keys.insert(want.claim.key).second) {
+            batch.emplace_back(want.claim);
+        }
+    }
+    return batch;
+}
+
+void start_write(claim_lane& lane, std::vector<log_record> batch, lane_output& out)
+{
+    auto body = encode(with_batch(lane.log, lane.id.slice, batch));
+    lane.stage = lane_stage::writing;
+    lane.batch = std::move(batch);
+    lane.batch_bytes = body.size();
+    lane.outcomes_due = false;
+    lane.call = (*out.next_call)++;
+    out.store.emplace_back(write_claims_effect{lane.call, current_segment_key(lane),
+                                               lane.log.last.version, std::move(body)});
+}
+
+void refuse_all_as_full(claim_lane& lane, lane_output& out)
+{
+    for (const auto& want : lane.wants) {
+        refuse(out, want, result_code::claim_store_full);
+    }
+    lane.wants.clear();
+}
+
+} // namespace
+
+std::string current_segment_key(const claim_lane& lane)
+{
+    return segment_key(lane.id.bucket, lane.id.slice, lane.log.last.index);
+}
+
+void add_want(claim_lane& lane, pending_want want, lane_output& out)
+{
+    const bool is_known = std::ranges::any_of(
+        lane.wants, [&](const pending_want& other) { return other.claim.id == want.claim.id; });
+    if (is_known) {
+        return;
+    }
+    if (lane.wants.size() >= max_lane_wants) {
+        refuse(out, want, result_code::claim_store_full);
+        return;
+    }
+    lane.wants.push_back(std::move(want));
+}
+
+void add_outcome(claim_lane& lane, pending_outcome outcome)
+{
+    const bool is_known = std::ranges::any_of(lane.outcomes, [&](const pending_outcome& other) {
+        return other.outcome.id == outcome.outcome.id;
+    });
+    if (!is_known) {
+        lane.outcomes.push_back(std::move(outcome));
+    }
+}
+
+void advance(claim_lane& lane, const live_lives& alive, monotonic_time now, lane_output& out)
+{
+    const bool has_work = !lane.wants.empty() || !lane.outcomes.empty();
+    if (lane.stage == lane_stage::pausing && has_work && now >= lane.retry_at) {
+        start_read(lane, out);
+    }
+    if (lane.stage != lane_stage::ready) {
+        return;
+    }
+    const bool look_again = answer_settled(lane, alive, out);
+    answer_kept_outcomes(lane, out);
+    if (lane.log.last.index >= max_segments) {
+        refuse_all_as_full(lane, out);
+        return;
+    }
+    auto batch = make_batch(lane);
+    if (!batch.empty()) {
+        start_write(lane, std::move(batch), out);
+    } else if (look_again) {
+        start_read(lane, out);
+    }
+}
+
+void take_lane_read(claim_lane& lane, const result<stored_object>& object, monotonic_time now,
+                    lane_output& out)
+{
+    if (lane.stage != lane_stage::reading) {
+        return;
+    }
+    const auto code = code_of(object);
+    if (code != result_code::ok && code != result_code::platform_not_found) {
+        pause(lane, now);
+        return;
+    }
+    lane.failures = 0;
+    const auto found = succeeded(object) ? std::optional(value_of(object)) : std::nullopt;
+    if (take_segment(lane.log, lane.id.slice, found) == segment_use::read_next) {
+        start_next_segment(lane.log);
+        start_read(lane, out);
+        return;
+    }
+    lane.stage = lane_stage::ready;
+    mark_views_settled(lane);
+}
+
+void take_lane_write(claim_lane& lane, const result<object_version>& version, monotonic_time now,
+                     lane_output& out)
+{
+    if (lane.stage != lane_stage::writing) {
+        return;
+    }
+    if (!succeeded(version)) {
+        lane.batch.clear();
+        // Whatever happened, only the log itself can tell whether the batch is in it.
+        if (code_of(version) == result_code::platform_conflict) {
+            start_read(lane, out);
+        } else {
+            pause(lane, now);
+        }
+        return;
+    }
+    lane.failures = 0;
+    const bool is_full =
+        take_written(lane.log, lane.batch, lane.batch_bytes, value_of(version));
+    answer_written_outcomes(lane, out);
+    lane.batch.clear();
+    lane.stage = lane_stage::ready;
+    mark_views_settled(lane);
+    if (is_full) {
+        start_next_segment(lane.log);
+        start_read(lane, out);
+    }
+}
+
+void tick_lane(claim_lane& lane, monotonic_time now, lane_output& out)
+{
+    lane.outcomes_due = !lane.outcomes.empty();
+    for (auto want = lane.wants.begin(); want != lane.wants.end();) {
+        if (now < want->deadline) {
+            ++want;
+            continue;
+        }
+        refuse(out, *want, result_code::claim_store_unavailable);
+        want = lane.wants.erase(want);
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/claims/claim_message.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "claims/claim_record.h"
+#include "common/result.h"
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// What hosts tell each other about claims. Each message may be lost, late, repeated or crossed:
+/// all are named by their claim id and taking one twice changes nothing.
+namespace almondquay {
+
+/// The work is this claim's to run, once.
+struct claim_granted {
+    bool operator==(const claim_granted&) const = default;
+};
+
+/// The first request with this key ran; this is its answer.
+struct claim_replayed {
+    claim_answer answer;
+
+    bool operator==(const claim_replayed&) const = default;
+};
+
+/// The request was not run and will not be.
+struct claim_refused {
+    result_code code = result_code::ok;
+
+    bool operator==(const claim_refused&) const = default;
+};
+
+using claim_verdict = std::variant<claim_granted, claim_replayed, claim_refused>;
+
+/// To a bucket's owner: make this claim durable.
+struct want_message {
+    claim_record claim;
+    std::chrono::milliseconds time_left{0};
+
+    bool operator==(const want_message&) const = default;
+};
+
+/// From a bucket's owner: what became of the claim.
+struct verdict_message {
+    claim_id id;
+    claim_verdict verdict;
+
+    bool operator==(const verdict_message&) const = default;
+};
+
+/// To a bucket's owner: make this outcome durable.
+struct outcome_message {
+    outcome_record outcome;
+
+    bool operator==(const outcome_message&) const = default;
+};
+
+/// From a bucket's owner: the outcome is durable.
+struct outcome_kept_message {
+    claim_id id;
+
+    bool operator==(const outcome_kept_message&) const = default;
+};
+
+struct claim_message {
+    host_id from;
+    std::variant<want_message, verdict_message, outcome_message, outcome_kept_message> body;
+
+    bool operator==(const claim_message&) const = default;
+};
+
+/// JSON.
+std::string encode(const claim_message& message);
+
+/// Errors: peer_message_malformed.
+result<claim_message> decode_claim_message(std::string_view text);
+
+} // namespace almondquay
--- /dev/null
+++ b/source/claims/claim_reducer.cpp
@@ -0,0 +1,363 @@
+#include "claims/claim_reducer.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace almondquay {
+
+namespace {
+
+template <class... Handlers> struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+/// One call of the reducer: its parts have the same lifetime and always go together.
+struct step {
+    claim_state& state;
+    const claim_world& world;
+    monotonic_time now;
+    wall_time wall;
+    claim_effects out;
+};
+
+void send(step& s, const host_id& to, decltype(claim_message::body) body)
+{
+    s.out.emplace_back(claim_message_effect{to, {s.world.self, std::move(body)}});
+}
+
+void run_lane(step& s, claim_lane& lane, lane_output output);
+
+claim_lane& lane_of(step& s, const claim_key& key)
+{
+    const lane_id id{bucket_of(key), slice_of(key)};
+    auto& lane = s.state.lanes[id];
+    lane.id = id;
+    lane.last_used = s.now;
+    return lane;
+}
+
+void put_in_lane(step& s, const claim_record& claim, const host_id& reply_to,
+                 monotonic_time deadline)
+{
+    auto& lane = lane_of(s, claim.key);
+    lane_output output;
+    add_want(lane, {claim, reply_to, deadline, false}, output);
+    run_lane(s, lane, std::move(output));
+}
+
+void put_in_lane(step& s, const outcome_record& outcome, const host_id& reply_to)
+{
+    auto& lane = lane_of(s, outcome.key);
+    add_outcome(lane, {outcome, reply_to});
+    run_lane(s, lane, {});
+}
+
+void send_outcome(step& s, unsaved_outcome& unsaved)
+{
+    unsaved.next_send = s.now + outcome_resend_interval;
+    const auto owner = owner_of(bucket_of(unsaved.outcome.key), s.world.owners);
+    if (owner == s.world.self || owner.value.empty()) {
+        put_in_lane(s, outcome_record(unsaved.outcome), s.world.self);
+    } else {
+        send(s, owner, outcome_message{unsaved.outcome});
+    }
+}
+
+void save_outcome(step& s, const outcome_record& outcome)
+{
+    const auto number = outcome.id.number;
+    auto& unsaved = s.state.unsaved;
+    unsaved[number] = {outcome, s.now + outcome_resend_interval};
+    if (unsaved.size() > max_own_claims) {
+        unsaved.erase(unsaved.begin());
+    }
+    const auto kept = unsaved.find(number);
+    if (kept != unsaved.end()) {
+        send_outcome(s, kept->second);
+    }
+}
+
+void remember_own(claim_state& state, const claim_record& claim)
+{
+    if (state.own.insert_or_assign(claim.key, own_claim{claim.id, claim.digest, {}}).second) {
+        state.own_order.push_back(claim.key);
+    }
+    if (state.own_order.size() > max_own_claims) {
+        state.own.erase(state.own_order.front());
+        state.own_order.pop_front();
+    }
+}
+
+bool is_refused_by_store(const claim_verdict& verdict)
+{
+    const auto* refused = std::get_if<claim_refused>(&verdict);
+    return refused != nullptr && (refused->code == result_code::claim_store_unavailable ||
+                                  refused->code == result_code::claim_store_full);
+}
+
+/// Ends the waiting of one request. A claim that was refused for want of an answer may still
+/// become durable, so it is recorded as not run, which makes its key free again.
+void end_waiting(step& s, const waiting_claim& w, const claim_verdict& verdict)
+{
+    const auto number = w.claim.id.number;
+    s.out.emplace_back(claim_verdict_effect{w.request, number, verdict});
+    if (std::holds_alternative<claim_granted>(verdict)) {
+        s.state.running.emplace(number, w.claim);
+        remember_own(s.state, w.claim);
+    } else if (is_refused_by_store(verdict)) {
+        save_outcome(s, {w.claim.key, w.claim.id, claim_end::not_run, {}});
+    }
+}
+
+void take_verdict(step& s, const claim_id& id, const claim_verdict& verdict)
+{
+    if (id.host != s.world.self || id.life != s.world.life) {
+        return;
+    }
+    const auto found = s.state.waiting.find(id.number);
+    if (found == s.state.waiting.end()) {
+        return; // Answered already, or given up and recorded as not run.
+    }
+    const auto w = found->second;
+    s.state.waiting.erase(found);
+    end_waiting(s, w, verdict);
+}
+
+void take_kept(step& s, const claim_id& id)
+{
+    if (id.host == s.world.self && id.life == s.world.life) {
+        s.state.unsaved.erase(id.number);
+    }
+}
+
+/// Passes on what a lane has decided. Verdicts for this host change its state at once.
+void run_lane(step& s, claim_lane& lane, lane_output output)
+{
+    output.next_call = &s.state.next_call;
+    advance(lane, s.world.alive, s.now, output);
+    std::ranges::move(output.store, std::back_inserter(s.out));
+    for (const auto& kept : output.kept) {
+        if (kept.to == s.world.self) {
+            take_kept(s, kept.id);
+        } else {
+            send(s, kept.to, outcome_kept_message{kept.id});
+        }
+    }
+    for (const auto& v : output.verdicts) {
+        if (v.to == s.world.self) {
+            take_verdict(s, v.id, v.verdict);
+        } else {
+            send(s, v.to, verdict_message{v.id, v.verdict});
+        }
+    }
+}
+
+/// What this host can tell about the key without asking anybody.
+std::optional<claim_verdict> verdict_from_own(const claim_state& state, const claim_record& claim)
+{
+    const auto found = state.own.find(claim.key);
+    if (found == state.own.end()) {
+        return std::nullopt;
+    }
+    const auto& own = found->second;
+    const bool is_free = own.outcome && own.outcome->end == claim_end::not_run;
+    if (is_free) {
+        return std::nullopt;
+    }
+    if (own.digest != claim.digest) {
+        return claim_refused{result_code::key_reused};
+    }
+    if (!own.outcome) {
+        return claim_refused{result_code::claim_still_running};
+    }
+    if (own.outcome->end == claim_end::unknown) {
+        return claim_refused{result_code::claim_outcome_unknown};
+    }
+    if (!own.outcome->answer.is_kept) {
+        return claim_refused{result_code::claim_answer_not_kept};
+    }
+    return claim_replayed{own.outcome->answer};
+}
+
+void ask_owner(step& s, waiting_claim& w)
+{
+    const auto owner = owner_of(bucket_of(w.claim.key), s.world.owners);
+    w.is_direct = owner == s.world.self || owner.value.empty();
+    if (w.is_direct) {
+        put_in_lane(s, claim_record(w.claim), s.world.self, w.deadline);
+        return;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(w.deadline - s.now);
+    send(s, owner, want_message{w.claim, left});
+}
+
+void take(step& s, const claim_wanted_event& e)
+{
+    const claim_record claim{e.key, {s.world.self, s.world.life, s.state.next_number++}, e.digest};
+    const auto refuse = [&](const claim_verdict& verdict) {
+        s.out.emplace_back(claim_verdict_effect{e.request, claim.id.number, verdict});
+    };
+    const auto age = check_age(e.key, s.wall);
+    if (!succeeded(age)) {
+        return refuse(claim_refused{error_of(age).code});
+    }
+    if (const auto known = verdict_from_own(s.state, claim)) {
+        return refuse(*known);
+    }
+    waiting_claim w{e.request, claim, std::min(e.deadline, s.now + claim_patience),
+                    s.now + owner_patience, false};
+    auto& kept = s.state.waiting.emplace(claim.id.number, w).first->second;
+    ask_owner(s, kept);
+}
+
+void take(step& s, const claim_finished_event& e)
+{
+    const auto found = s.state.running.find(e.number);
+    if (found == s.state.running.end()) {
+        return;
+    }
+    const outcome_record outcome{found->second.key, found->second.id, e.end, e.answer};
+    s.state.running.erase(found);
+    const auto own = s.state.own.find(outcome.key);
+    if (own != s.state.own.end() && own->second.id == outcome.id) {
+        own->second.outcome = outcome;
+    }
+    save_outcome(s, outcome);
+}
+
+claim_lane* find_lane(claim_state& state, store_call call)
+{
+    const auto found = std::ranges::find_if(
+        state.lanes, [&](const auto& entry) { return entry.second.call == call; });
+    return found == state.lanes.end() ? nullptr : &found->second;
+}
+
+lane_output empty_output(step& s)
+{
+    lane_output output;
+    output.next_call = &s.state.next_call;
+    return output;
+}
+
+void take(step& s, const claim_read_event& e)
+{
+    if (auto* lane = find_lane(s.state, e.call)) {
+        auto output = empty_output(s);
+        take_lane_read(*lane, e.object, s.now, output);
+        run_lane(s, *lane, std::move(output));
+    }
+}
+
+void take(step& s, const claim_written_event& e)
+{
+    if (auto* lane = find_lane(s.state, e.call)) {
+        auto output = empty_output(s);
+        take_lane_write(*lane, e.version, s.now, output);
+        run_lane(s, *lane, std::move(output));
+    }
+}
+
+void take(step& s, const claim_message_event& e)
+{
+    const auto& from = e.message.from;
+    std::visit(
+        overloaded{
+            [&](const want_message& m) {
+                const auto left = std::clamp(m.time_left, std::chrono::milliseconds{0},
+                                             claim_patience);
+                put_in_lane(s, m.claim, from, s.now + left);
+            },
+            [&](const verdict_message& m) { take_verdict(s, m.id, m.verdict); },
+            [&](const outcome_message& m) { put_in_lane(s, m.outcome, from); },
+            [&](const outcome_kept_message& m) { take_kept(s, m.id); },
+        },
+        e.message.body);
+}
+
+void tick_waiting(step& s)
+{
+    std::vector<claim_number> numbers;
+    for (const auto& [number, w] : s.state.waiting) {
+        numbers.push_back(number);
+    }
+    for (const auto number : numbers) {
+        const auto found = s.state.waiting.find(number);
+        if (found == s.state.waiting.end()) {
+            continue;
+        }
+        auto& w = found->second;
+        if (s.now >= w.deadline) {
+            take_verdict(s, w.claim.id, claim_refused{result_code::claim_store_unavailable});
+        } else if (!w.is_direct && s.now >= w.direct_at) {
+            w.is_direct = true;
+            put_in_lane(s, claim_record(w.claim), s.world.self, w.deadline);
+        }
+    }
+}
+
+void tick_unsaved(step& s)
+{
+    std::vector<claim_number> due;
+    for (const auto& [number, unsaved] : s.state.unsaved) {
+        if (s.now >= unsaved.next_send && due.size() < max_batch_records) {
+            due.push_back(number);
+        }
+    }
+    for (const auto number : due) {
+        const auto found = s.state.unsaved.find(number);
+        if (found != s.state.unsaved.end()) {
+            send_outcome(s, found->second);
+        }
+    }
+}
+
+void tick_lanes(step& s)
+{
+    std::erase_if(s.state.lanes, [&](const auto& entry) {
+        const auto& lane = entry.second;
+        const bool is_busy =
+            lane.stage == lane_stage::reading || lane.stage == lane_stage::writing;
+        return !is_busy && lane.wants.empty() && lane.outcomes.empty() &&
+               s.now - lane.last_used > lane_idle_limit;
+    });
+    for (auto& [id, lane] : s.state.lanes) {
+        lane_output output;
+        tick_lane(lane, s.now, output);
+        run_lane(s, lane, std::move(output));
+    }
+}
+
+void take(step& s, const claim_tick_event& /*e*/)
+{
+    tick_waiting(s);
+    tick_unsaved(s);
+    tick_lanes(s);
+}
+
+} // namespace
+
+host_id owner_of(bucket_number bucket, const live_lives& hosts)
+{
+    host_id owner;
+    std::uint64_t best = 0;
+    for (const auto& [id, life] : hosts) {
+        const auto score =
+            XXH3_64bits_withSeed(id.value.data(), id.value.size(), bucket.value + 1);
+        if (owner.value.empty() || score > best) {
+            owner = id;
+            best = score;
+        }
+    }
+    return owner;
+}
+
+claim_effects reduce_claims(claim_state& state, const claim_world& world, const claim_event& e,
+                            monotonic_time now, wall_time wall)
+{
+    step s{state, world, now, wall, {}};
+    std::visit([&](const auto& one) { take(s, one); }, e);
+    return std::move(s.out);
+}
+
+} // namespace almondquay
--- a/source/control/effect.h
+++ b/source/control/effect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claims/claim_effect.h"
 #include "config/fleet_envelope.h"
 #include "peer/gossip_message.h"
 #include "platform/object_store.h"
@@ -40,6 +41,12 @@
     gossip_message message;
 };
 
+/// Passes a message about a claim to a host; its answers come as messages of their own.
+struct send_claim_message_effect {
+    endpoint peer;
+    claim_message message;
+};
+
 /// Asks a target whether it answers. Ends in a probe_ended_event.
 struct probe_effect {
     target_id target;
@@ -59,7 +66,7 @@
 
 using effect =
     std::variant<publish_effect, watch_fleet_effect, write_fleet_effect, fetch_fleet_effect,
-                 send_gossip_effect, probe_effect, record_effect, stop_traffic_effect, exit_effect>;
+                 send_gossip_effect, probe_effect, record_effect, stop_traffic_effect, exit_effect, read_claims_effect, write_claims_effect, send_claim_message_effect, claim_verdict_effect>;
 using effects = std::vector<effect>;
 
 } // namespace almondquay
--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -1,5 +1,6 @@
 #include "control/reducer.h"
 
+#include "control/claim_bridge.h"
 #include "control/decisions.h"
 #include "control/fleet_adoption.h"
 #include "control/membership.h"
@@ -65,6 +66,7 @@
     tick_fleet(state, e, out);
     tick_health(state, e, out);
     tick_stop(state, e, out);
+    take_claim_event(state, e, claim_tick_event{}, out);
 }
 
 } // namespace
@@ -74,6 +76,7 @@
     control_state state;
     state.self = std::move(self);
     state.random.seed(seed);
+    renew_claim_view(state);
     return state;
 }
 
@@ -91,10 +94,12 @@
             [&](const probe_ended_event& body) { take_probe(state, e, body, out); },
             [&](const stop_requested_event&) { request_stop(state, e, out); },
             [&](const traffic_ended_event&) { end_process(state, e, out); },
+            [&](const claim_event& body) { take_claim_event(state, e, body, out); },
         },
         e.body);
     if (state.snapshot_is_stale) {
         state.snapshot_is_stale = false;
+        renew_claim_view(state);
         out.emplace_back(publish_effect{build_snapshot(state)});
     }
     return out;
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claims/claim_reducer.h"
 #include "common/hybrid_clock.h"
 #include "config/fleet.h"
 #include "config/fleet_envelope.h"
@@ -74,6 +75,8 @@
     fleet_state fleet;
     membership_state membership;
     std::map<target_id, target_health> targets;
+    claim_state claims;
+    claim_world claim_view; ///< who is alive, for the claims; renewed with each snapshot
     life_stage stage = life_stage::starting;
     monotonic_time leave_deadline{}; ///< when callers have forgotten this host
     std::string stop_decision;
--- /dev/null
+++ b/source/traffic/claimed.cpp
@@ -0,0 +1,100 @@
+#include "traffic/claimed.h"
+
+#include <xxhash.h>
+
+namespace almondquay {
+
+namespace {
+
+std::uint64_t digest_of(const caller_request& request)
+{
+    const auto& head = request.parser->get();
+    std::string text(head.method_string());
+    text += ' ';
+    text += head.target();
+    text += '\n';
+    text += request.body;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+/// Asks for the key and waits. The control thread answers every question within its patience.
+asio::awaitable<claim_verdict_effect> ask(worker& w, claim_wanted_event wanted)
+{
+    verdict_wait wait(w.io);
+    wanted.request = w.context.first_request + w.requests++;
+    w.verdicts[wanted.request] = &wait;
+    w.context.events.want(wanted);
+    while (!wait.verdict) {
+        error_code ignored;
+        co_await wait.signal.async_wait(into(ignored));
+    }
+    w.verdicts.erase(wanted.request);
+    co_return *wait.verdict;
+}
+
+outcome outcome_of(result_code code)
+{
+    switch (code) {
+    case result_code::claim_still_running:
+    case result_code::claim_outcome_unknown:
+        return outcome::unknown;
+    case result_code::claim_answer_not_kept:
+        return outcome::ran;
+    default:
+        return outcome::not_run;
+    }
+}
+
+forward_end refused_end(result_code code)
+{
+    return {code, outcome_of(code), false, true, std::nullopt};
+}
+
+claim_finished_event finished(claim_number number, const forward_end& end)
+{
+    if (end.what == outcome::not_run) {
+        return {number, claim_end::not_run, {}};
+    }
+    if (end.what == outcome::unknown) {
+        return {number, claim_end::unknown, {}};
+    }
+    claim_answer answer;
+    answer.is_kept = end.kept && end.kept->body.size() <= max_kept_body_bytes;
+    if (answer.is_kept) {
+        answer = {end.kept->status, end.kept->content_type, end.kept->body, true};
+    }
+    return {number, claim_end::ran, std::move(answer)};
+}
+
+asio::awaitable<claimed_end> run_granted(worker& w, caller_request& request, claim_number number)
+{
+    auto end = co_await forward(w, request);
+    w.context.events.finish(finished(number, end));
+    co_return claimed_end{std::move(end), std::nullopt};
+}
+
+} // namespace
+
+asio::awaitable<claimed_end> forward_claimed(worker& w, caller_request& request)
+{
+    const auto text = request.parser->get()[key_header];
+    const auto key = parse_claim_key({text.data(), text.size()});
+    if (!succeeded(key)) {
+        co_return claimed_end{refused_end(error_of(key).code), std::nullopt};
+    }
+    if (!request.body_is_complete) {
+        co_return claimed_end{refused_end(result_code::request_body_too_large), std::nullopt};
+    }
+    const claim_wanted_event wanted{0, value_of(key), digest_of(request), request.deadline};
+    const auto answer = co_await ask(w, wanted);
+    if (std::holds_alternative<claim_granted>(answer.verdict)) {
+        co_return co_await run_granted(w, request, answer.number);
+    }
+    if (const auto* replay = std::get_if<claim_replayed>(&answer.verdict)) {
+        const forward_end end{result_code::ok, outcome::ran, false, true, std::nullopt};
+        co_return claimed_end{end, replay->answer};
+    }
+    co_return claimed_end{refused_end(std::get<claim_refused>(answer.verdict).code), std::nullopt};
+}
+
+} // namespace almondquay
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -47,7 +47,8 @@
     slot held;
 };
 
-/// Notices that the caller has closed its connection while the target works, and carries the
+/// For repeatable requests only: other work runs to its end, so that a caller that asks again
+/// gets the first answer. Notices that the caller has closed its connection while the target works, and carries the
 /// cancellation on by closing the connection to the target.
 struct caller_watch {
     connection_ptr upstream;
@@ -287,7 +288,7 @@
     parser.skip(request.parser->get().method() == beast::http::verb::head);
     const auto watch = std::make_shared<caller_watch>();
     watch->upstream = upstream;
-    if (!problem) {
+    if (!problem && request.repeatable) {
         watch_caller(*request.caller, watch);
         co_await beast::http::async_read_header(upstream->stream, upstream->buffer, parser,
                                                 into(problem));
--- a/source/traffic/outcome.h
+++ b/source/traffic/outcome.h
@@ -18,6 +18,8 @@
 
 inline constexpr std::string_view outcome_header = "Almondquay-Outcome";
 inline constexpr std::string_view result_header = "Almondquay-Result";
+/// On the first answer to a key when a caller asks again.
+inline constexpr std::string_view replayed_header = "Almondquay-Replayed";
 inline constexpr std::string_view host_header = "Almondquay-Host";
 inline constexpr std::string_view deadline_header = "Almondquay-Deadline-Ms";
 inline constexpr std::string_view lookup_path = "/.well-known/almondquay/lookup";
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -1,6 +1,7 @@
 #include "traffic/session.h"
 
 #include "http/message.h"
+#include "traffic/claimed.h"
 #include "traffic/forward.h"
 #include "traffic/outcome.h"
 
@@ -189,6 +190,31 @@
     co_return co_await write_small(connection, refusal);
 }
 
+asio::awaitable<claimed_end> run(worker& w, caller_request& request)
+{
+    if (!request.repeatable) {
+        co_return co_await forward_claimed(w, request);
+    }
+    co_return claimed_end{co_await forward(w, request), std::nullopt};
+}
+
+/// Gives the first answer to a caller that asked again.
+asio::awaitable<bool> replay(worker& w, caller_connection& connection, claim_answer kept,
+                             bool keep_alive)
+{
+    small_response answer;
+    answer.version(11);
+    answer.result(kept.status);
+    answer.set(beast::http::field::content_type, kept.content_type);
+    answer.set(outcome_header, name_of(outcome::ran));
+    answer.set(result_header, "0");
+    answer.set(replayed_header, "yes");
+    answer.set(host_header, w.context.host.value);
+    answer.keep_alive(keep_alive);
+    answer.body() = std::move(kept.body);
+    co_return co_await write_small(connection, answer);
+}
+
 /// Serves one proxied request. False if the connection cannot carry another one.
 asio::awaitable<bool> serve_request(worker& w, caller_connection& connection, caller_parser& parser)
 {
@@ -207,8 +233,11 @@
         count(w, service, code, start);
         co_return co_await refuse(w, connection, code, outcome::not_run, false);
     }
-    const auto end = co_await forward(w, request);
+    const auto [end, replayed] = co_await run(w, request);
     count(w, service, end.code, start);
+    if (replayed) {
+        co_return co_await replay(w, connection, *replayed, request.keep_alive);
+    }
     if (end.answered || end.code == result_code::caller_gone) {
         co_return end.caller_usable;
     }
--- /dev/null
+++ b/source/traffic/traffic_events.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "control/event.h"
+
+#include <functional>
+
+namespace almondquay {
+
+/// What the traffic threads tell the control thread; may be called from any thread.
+struct traffic_events {
+    std::function<void(target_report_event)> report;
+    std::function<void(claim_wanted_event)> want;
+    std::function<void(claim_finished_event)> finish;
+};
+
+} // namespace almondquay
--- a/source/traffic/traffic_server.cpp
+++ b/source/traffic/traffic_server.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Request numbers of different threads never meet, and tell the thread.
+constexpr std::uint64_t requests_per_thread = 1ULL << 48U;
+
 using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
 
 struct running_worker {
@@ -35,13 +38,14 @@
 
 result<std::unique_ptr<traffic_server>>
 traffic_server::create(const traffic_settings& settings, metrics::registry& metrics,
-                       std::function<void(target_report_event)> report)
+                       const traffic_events& events)
 {
     auto state = std::make_unique<shared_state>();
     state->slots = slot_pool::create();
-    const traffic_context context{settings.host,      settings.listen, settings.max_connections,
-                                  state->slots.get(), &metrics,        std::move(report)};
+    traffic_context context{settings.host, settings.listen, settings.max_connections,
+                            state->slots.get(), &metrics, events, 0};
     for (std::uint32_t i = 0; i < settings.threads; ++i) {
+        context.first_request = i * requests_per_thread;
         auto w = std::make_unique<running_worker>(context);
         const auto listening = start_listening(w->state);
         if (!succeeded(listening)) {
@@ -75,6 +79,12 @@
     }
 }
 
+void traffic_server::give_verdict(const claim_verdict_effect& verdict)
+{
+    auto& w = state_->workers[verdict.request / requests_per_thread];
+    asio::post(w->state.io, [w = &w->state, verdict] { take_verdict(*w, verdict); });
+}
+
 void traffic_server::stop(std::function<void()> on_drained)
 {
     const auto left = std::make_shared<std::atomic<std::size_t>>(state_->workers.size());
--- a/source/traffic/traffic_server.h
+++ b/source/traffic/traffic_server.h
@@ -4,9 +4,9 @@
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
 #include "traffic/slot_pool.h"
+#include "traffic/traffic_events.h"
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 
 /// The callers' side of an entry host: several threads that look up and forward.
@@ -21,10 +21,10 @@
 
 class traffic_server {
 public:
-    /// Starts the threads. `report` is called from them. Errors: usage_error.
+    /// Starts the threads. `events` are called from them. Errors: usage_error.
     static result<std::unique_ptr<traffic_server>>
     create(const traffic_settings& settings, metrics::registry& metrics,
-           std::function<void(target_report_event)> report);
+           const traffic_events& events);
     ~traffic_server();
     traffic_server(const traffic_server&) = delete;
     traffic_server& operator=(const traffic_server&) = delete;
@@ -32,6 +32,9 @@
     /// Gives all threads a new view. Called from the control thread.
     void publish(const snapshot_ptr& snapshot);
 
+    /// Passes a verdict to the request that waits for it. Called from the control thread.
+    void give_verdict(const claim_verdict_effect& verdict);
+
     /// Takes no further requests; `on_drained` is called from some thread after the last one.
     void stop(std::function<void()> on_drained);
 
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -103,15 +103,24 @@
     }
 }
 
+void take_verdict(worker& w, const claim_verdict_effect& verdict)
+{
+    const auto waiting = w.verdicts.find(verdict.request);
+    if (waiting != w.verdicts.end()) {
+        waiting->second->verdict = verdict;
+        waiting->second->signal.cancel();
+    }
+}
+
 void report_target(worker& w, const target_id& target, target_evidence evidence)
 {
     auto& failures = w.failing[target];
     if (evidence != target_evidence::served) {
         ++failures;
-        w.context.report({target, evidence});
+        w.context.events.report({target, evidence});
     } else if (failures != 0) {
         failures = 0;
-        w.context.report({target, evidence});
+        w.context.events.report({target, evidence});
     }
 }
 
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -5,17 +5,19 @@
 #include "steering/routing_snapshot.h"
 #include "traffic/retry_budget.h"
 #include "traffic/slot_pool.h"
+#include "traffic/traffic_events.h"
 #include "traffic/upstream_pool.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
+#include <boost/asio/steady_timer.hpp>
+
 /// One traffic thread: its listener, its callers' connections and its view of the fleet.
 namespace almondquay {
 
-using target_report_handler = std::function<void(target_report_event)>;
-
 /// What all traffic threads share.
 struct traffic_context {
     host_id host;
@@ -23,7 +25,8 @@
     std::uint32_t max_connections = 0; ///< for each thread
     slot_pool* slots = nullptr;
     metrics::registry* metrics = nullptr;
-    target_report_handler report; ///< may be called from any thread
+    traffic_events events;
+    std::uint64_t first_request = 0; ///< this thread numbers its claimed requests from here
 };
 
 /// A caller's connection, linked while it is open so that a stop can reach it.
@@ -35,6 +38,17 @@
     bool in_request = false;
 };
 
+/// A claimed request that waits for its verdict.
+struct verdict_wait {
+    explicit verdict_wait(asio::io_context& io)
+        : signal(io, asio::steady_timer::time_point::max())
+    {
+    }
+
+    asio::steady_timer signal;
+    std::optional<claim_verdict_effect> verdict;
+};
+
 /// All of it is used on the thread of `io` only.
 struct worker {
     explicit worker(traffic_context shared)
@@ -50,6 +64,8 @@
     boost::intrusive::list<caller_connection> callers;
     std::map<std::string, retry_budget, std::less<>> budgets;
     std::map<target_id, unsigned> failing; ///< failures in a row seen by this thread
+    std::map<std::uint64_t, verdict_wait*> verdicts; ///< by request
+    std::uint64_t requests = 0;
     bool stopping = false;
     std::function<void()> on_drained; ///< called once when the last connection has ended
 };
@@ -60,6 +76,9 @@
 /// Takes no more connections, closes idle ones and calls `on_drained` after the last request.
 void stop_listening(worker& w, std::function<void()> on_drained);
 
+/// Wakes the request that waits for this verdict.
+void take_verdict(worker& w, const claim_verdict_effect& verdict);
+
 /// Passes on failures and the first success after failures.
 void report_target(worker& w, const target_id& target, target_evidence evidence);
 
