Prove claims and configuration under a generated fault matrix

Cause: both rest on argument until every effect has met every fault. Change: two small worlds with virtual time. One drives three claim reducers against a platform that loses, delays, repeats and crosses calls, hosts that pause or are replaced, cuts and outages; its oracle is the targets' own count of runs. The other drives four whole reducers through acceptances, restores and cuts. Found: a claim whose message reached the owner after its request had been answered by another way became durable and held a key that nobody ran (random plan). Ruled out: the void records and their order. Change: a late grant of a claim that is known to have been refused is recorded as not run. Left: mutations, process faults.

--- a/source/claims/claim_lane.cpp
+++ b/source/claims/claim_lane.cpp
@@ -11,7 +11,7 @@
 
 void refuse(lane_output& out, const pending_want& want, result_code code)
 {
-    out.verdicts.push_back({want.reply_to, want.claim.id, claim_refused{code}});
+    out.verdicts.push_back({want.reply_to, want.claim.id, want.claim.key, claim_refused{code}});
 }
 
 void start_read(claim_lane& lane, lane_output& out)
@@ -76,7 +76,7 @@
         return {next_step::look_again, {}};
     }
     const auto code = is_running(entry, alive) ? result_code::claim_still_running
-                                              : result_code::claim_outcome_unknown;
+                                               : result_code::claim_outcome_unknown;
     return {next_step::answer, claim_refused{code}};
 }
 
@@ -106,7 +106,7 @@
             ++want;
             continue;
         }
-        out.verdicts.push_back({want->reply_to, want->claim.id, settled.verdict});
+        out.verdicts.push_back({want->reply_to, want->claim.id, want->claim.key, settled.verdict});
         want = lane.wants.erase(want);
     }
     return look_again;
@@ -139,9 +139,8 @@
         if (written == nullptr) {
             continue;
         }
-        const auto pending =
-            std::ranges::find(lane.outcomes, written->id,
-                              [](const pending_outcome& p) { return p.outcome.id; });
+        const auto pending = std::ranges::find(
+            lane.outcomes, written->id, [](const pending_outcome& p) { return p.outcome.id; });
         if (pending != lane.outcomes.end()) {
             out.kept.push_back({pending->reply_to, written->id});
             lane.outcomes.erase(pending);
@@ -290,8 +289,7 @@
         return;
     }
     lane.failures = 0;
-    const bool is_full =
-        take_written(lane.log, lane.batch, lane.batch_bytes, value_of(version));
+    const bool is_full = take_written(lane.log, lane.batch, lane.batch_bytes, value_of(version));
     answer_written_outcomes(lane, out);
     lane.batch.clear();
     lane.stage = lane_stage::ready;
--- a/source/claims/claim_lane.h
+++ b/source/claims/claim_lane.h
@@ -65,6 +65,7 @@
 struct lane_verdict {
     host_id to;
     claim_id id;
+    claim_key key{};
     claim_verdict verdict;
 };
 
@@ -76,7 +77,7 @@
 /// What a lane wants done.
 struct lane_output {
     store_call* next_call = nullptr; ///< the host's counter of calls
-    claim_effects store; ///< reads and writes only
+    claim_effects store;             ///< reads and writes only
     std::vector<lane_verdict> verdicts;
     std::vector<lane_outcome_kept> kept;
 };
--- a/source/claims/claim_message.cpp
+++ b/source/claims/claim_message.cpp
@@ -53,7 +53,9 @@
 {
     return std::visit(
         overloaded{
-            [](const claim_granted&) { return json{{"verdict", "granted"}}; },
+            [](const claim_granted&) {
+                return json{{"verdict", "granted"}};
+            },
             [](const claim_replayed& v) {
                 return json{{"verdict", "replayed"}, {"answer", answer_json(v.answer)}};
             },
@@ -87,7 +89,10 @@
 
 json body_json(const verdict_message& m)
 {
-    return {{"kind", "verdict"}, {"id", id_json(m.id)}, {"verdict", verdict_json(m.verdict)}};
+    return {{"kind", "verdict"},
+            {"key", text_of(m.key)},
+            {"id", id_json(m.id)},
+            {"verdict", verdict_json(m.verdict)}};
 }
 
 json body_json(const outcome_message& m)
@@ -125,7 +130,8 @@
             want_message{{key_from(body.at("key")), id, body.at("digest").get<std::uint64_t>()},
                          std::chrono::milliseconds(body.at("time_left_ms").get<std::int64_t>())};
     } else if (kind == "verdict") {
-        message.body = verdict_message{id, verdict_from(body.at("verdict"))};
+        message.body =
+            verdict_message{id, key_from(body.at("key")), verdict_from(body.at("verdict"))};
     } else if (kind == "outcome") {
         message.body = outcome_message{{key_from(body.at("key")), id, end_from(body.at("end")),
                                         answer_from(body.at("answer"))}};
--- a/source/claims/claim_message.h
+++ b/source/claims/claim_message.h
@@ -44,6 +44,7 @@
 /// From a bucket's owner: what became of the claim.
 struct verdict_message {
     claim_id id;
+    claim_key key{};
     claim_verdict verdict;
 
     bool operator==(const verdict_message&) const = default;
--- a/source/claims/claim_reducer.cpp
+++ b/source/claims/claim_reducer.cpp
@@ -89,6 +89,14 @@
     }
 }
 
+void remember_refused(claim_state& state, claim_number number)
+{
+    state.refused.insert(number);
+    if (state.refused.size() > max_own_claims) {
+        state.refused.erase(state.refused.begin());
+    }
+}
+
 bool is_refused_by_store(const claim_verdict& verdict)
 {
     const auto* refused = std::get_if<claim_refused>(&verdict);
@@ -105,19 +113,36 @@
     if (std::holds_alternative<claim_granted>(verdict)) {
         s.state.running.emplace(number, w.claim);
         remember_own(s.state, w.claim);
-    } else if (is_refused_by_store(verdict)) {
+        return;
+    }
+    remember_refused(s.state, number);
+    if (is_refused_by_store(verdict)) {
         save_outcome(s, {w.claim.key, w.claim.id, claim_end::not_run, {}});
     }
 }
 
-void take_verdict(step& s, const claim_id& id, const claim_verdict& verdict)
+/// A claim that became durable after its request was answered otherwise, as when its message was
+/// late, holds a key that nobody runs. Only claims that are known to have been refused are given
+/// back: one that was forgotten may have run.
+void return_unwanted_grant(step& s, const claim_id& id, const claim_key& key,
+                           const claim_verdict& verdict)
+{
+    const bool is_unwanted =
+        std::holds_alternative<claim_granted>(verdict) && s.state.refused.contains(id.number);
+    if (is_unwanted) {
+        save_outcome(s, {key, id, claim_end::not_run, {}});
+    }
+}
+
+void take_verdict(step& s, const claim_id& id, const claim_key& key, const claim_verdict& verdict)
 {
     if (id.host != s.world.self || id.life != s.world.life) {
         return;
     }
     const auto found = s.state.waiting.find(id.number);
     if (found == s.state.waiting.end()) {
-        return; // Answered already, or given up and recorded as not run.
+        return_unwanted_grant(s, id, key, verdict);
+        return;
     }
     const auto w = found->second;
     s.state.waiting.erase(found);
@@ -146,9 +171,9 @@
     }
     for (const auto& v : output.verdicts) {
         if (v.to == s.world.self) {
-            take_verdict(s, v.id, v.verdict);
+            take_verdict(s, v.id, v.key, v.verdict);
         } else {
-            send(s, v.to, verdict_message{v.id, v.verdict});
+            send(s, v.to, verdict_message{v.id, v.key, v.verdict});
         }
     }
 }
@@ -261,18 +286,17 @@
 void take(step& s, const claim_message_event& e)
 {
     const auto& from = e.message.from;
-    std::visit(
-        overloaded{
-            [&](const want_message& m) {
-                const auto left = std::clamp(m.time_left, std::chrono::milliseconds{0},
-                                             claim_patience);
-                put_in_lane(s, m.claim, from, s.now + left);
-            },
-            [&](const verdict_message& m) { take_verdict(s, m.id, m.verdict); },
-            [&](const outcome_message& m) { put_in_lane(s, m.outcome, from); },
-            [&](const outcome_kept_message& m) { take_kept(s, m.id); },
-        },
-        e.message.body);
+    std::visit(overloaded{
+                   [&](const want_message& m) {
+                       const auto left =
+                           std::clamp(m.time_left, std::chrono::milliseconds{0}, claim_patience);
+                       put_in_lane(s, m.claim, from, s.now + left);
+                   },
+                   [&](const verdict_message& m) { take_verdict(s, m.id, m.key, m.verdict); },
+                   [&](const outcome_message& m) { put_in_lane(s, m.outcome, from); },
+                   [&](const outcome_kept_message& m) { take_kept(s, m.id); },
+               },
+               e.message.body);
 }
 
 void tick_waiting(step& s)
@@ -288,7 +312,8 @@
         }
         auto& w = found->second;
         if (s.now >= w.deadline) {
-            take_verdict(s, w.claim.id, claim_refused{result_code::claim_store_unavailable});
+            take_verdict(s, w.claim.id, w.claim.key,
+                         claim_refused{result_code::claim_store_unavailable});
         } else if (!w.is_direct && s.now >= w.direct_at) {
             w.is_direct = true;
             put_in_lane(s, claim_record(w.claim), s.world.self, w.deadline);
@@ -316,8 +341,7 @@
 {
     std::erase_if(s.state.lanes, [&](const auto& entry) {
         const auto& lane = entry.second;
-        const bool is_busy =
-            lane.stage == lane_stage::reading || lane.stage == lane_stage::writing;
+        const bool is_busy = lane.stage == lane_stage::reading || lane.stage == lane_stage::writing;
         return !is_busy && lane.wants.empty() && lane.outcomes.empty() &&
                s.now - lane.last_used > lane_idle_limit;
     });
@@ -342,8 +366,7 @@
     host_id owner;
     std::uint64_t best = 0;
     for (const auto& [id, life] : hosts) {
-        const auto score =
-            XXH3_64bits_withSeed(id.value.data(), id.value.size(), bucket.value + 1);
+        const auto score = XXH3_64bits_withSeed(id.value.data(), id.value.size(), bucket.value + 1);
         if (owner.value.empty() || score > best) {
             owner = id;
             best = score;
--- a/source/claims/claim_reducer.h
+++ b/source/claims/claim_reducer.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 /// Work that must not repeat: decides who may run a key, once, and what a resend is told.
 ///
@@ -51,6 +52,7 @@
     std::map<claim_key, own_claim> own;
     std::deque<claim_key> own_order; ///< oldest first
     std::map<claim_number, unsaved_outcome> unsaved;
+    std::set<claim_number> refused; ///< answered otherwise than by a grant; they never run
 };
 
 /// How long a host waits for a bucket's owner before it writes the claim by itself.
--- /dev/null
+++ b/unit_tests/claims/claim_world.cpp
@@ -0,0 +1,505 @@
+#include "claims/claim_world.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/container_hash/hash.hpp>
+
+namespace almondquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t host_count = 3;
+constexpr milliseconds platform_delay{5};
+constexpr milliseconds peer_delay{1};
+constexpr milliseconds work_time{20};
+constexpr milliseconds call_timeout{1'000};
+constexpr milliseconds late_by{6'000};
+constexpr milliseconds pause_time{12'000};
+constexpr milliseconds outage_time{5'000};
+constexpr milliseconds tick_gap{250};
+constexpr milliseconds caller_patience{900};
+/// No fault begins later, so that the last resend meets a world in which all faults are over.
+constexpr milliseconds last_fault_at{25'000};
+constexpr milliseconds last_resend_at{40'000};
+constexpr milliseconds scenario_time{50'000};
+constexpr milliseconds request_deadline{3'000};
+constexpr std::uint64_t start_wall_ms = 1'800'000'000'000;
+
+/// Work goes on at virtual times; equal times keep the order in which they were scheduled.
+struct timed_action {
+    milliseconds at{};
+    std::uint64_t order = 0;
+    std::function<void()> act;
+};
+
+struct later {
+    bool operator()(const timed_action& a, const timed_action& b) const
+    {
+        return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+    }
+};
+
+struct model_host {
+    claim_state state;
+    claim_world view;
+    milliseconds paused_until{};
+    milliseconds cut_until{};
+    std::uint64_t life = 1;
+};
+
+struct model_request {
+    claim_key key{};
+    bool dispatched = false;
+    bool refused_unrun = false;
+    bool answered = false;
+};
+
+struct model {
+    explicit model(const fault_plan& p) : plan(p) {}
+
+    const fault_plan& plan;
+    milliseconds now{};
+    std::uint64_t orders = 0;
+    std::priority_queue<timed_action, std::vector<timed_action>, later> actions;
+    std::array<model_host, host_count> hosts;
+    std::map<std::string, stored_object> objects;
+    object_version versions = 0;
+    milliseconds platform_down_until{};
+    std::map<std::uint64_t, model_request> requests;
+    std::map<claim_key, std::uint32_t> runs;
+    claim_key key{};
+    claim_key other_key{};
+    claim_run_report report;
+};
+
+void at(model& m, milliseconds time, std::function<void()> act)
+{
+    m.actions.push({time, m.orders++, std::move(act)});
+}
+
+host_id name_of_host(std::size_t index)
+{
+    return host_id("host-" + std::to_string(index));
+}
+
+monotonic_time to_monotonic(milliseconds t)
+{
+    return monotonic_time(t + milliseconds(1));
+}
+wall_time to_wall(milliseconds t)
+{
+    return wall_time(t + milliseconds(start_wall_ms));
+}
+
+void deliver(model& m, std::size_t host, std::uint64_t life, const claim_event& e);
+
+/// The live hosts as a host sees them: whoever is cut off sees only itself.
+void renew_view(model& m, std::size_t host)
+{
+    auto& h = m.hosts[host];
+    h.view = {name_of_host(host), incarnation(h.life), {}, {}};
+    for (std::size_t i = 0; i < host_count; ++i) {
+        const auto& other = m.hosts[i];
+        const bool hears = i == host || (m.now >= other.cut_until && m.now >= h.cut_until &&
+                                         m.now >= other.paused_until);
+        if (hears) {
+            h.view.alive[name_of_host(i)] = incarnation(other.life);
+        }
+    }
+    h.view.owners = h.view.alive;
+}
+
+void violate(model& m, const std::string& what)
+{
+    m.report.violations.push_back("at " + std::to_string(m.now.count()) + " ms: " + what);
+}
+
+claim_fault next_fault(model& m)
+{
+    const auto found = m.plan.find(m.report.steps++);
+    const bool is_over = found == m.plan.end() || m.now > last_fault_at;
+    return is_over ? claim_fault::none : found->second;
+}
+
+/// Faults of hosts and places begin when their step does; the step itself then goes on under them.
+void begin_place_fault(model& m, std::size_t host, claim_fault fault)
+{
+    auto& h = m.hosts[host];
+    if (fault == claim_fault::host_paused) {
+        h.paused_until = std::max(h.paused_until, m.now + pause_time);
+    } else if (fault == claim_fault::host_replaced) {
+        ++h.life;
+        h.state = {};
+    } else if (fault == claim_fault::platform_down) {
+        m.platform_down_until = m.now + outage_time;
+    } else if (fault == claim_fault::domain_cut) {
+        h.cut_until = m.now + outage_time;
+    }
+}
+
+bool is_gone(const model& m, std::size_t host, std::uint64_t life)
+{
+    return m.hosts[host].life != life;
+}
+
+result<stored_object> read_object(model& m, const std::string& key)
+{
+    const auto found = m.objects.find(key);
+    if (found == m.objects.end()) {
+        return error{result_code::platform_not_found, ""};
+    }
+    return found->second;
+}
+
+result<object_version> write_object(model& m, const write_claims_effect& e)
+{
+    const auto found = m.objects.find(e.key);
+    const bool holds = e.expected ? found != m.objects.end() && found->second.version == *e.expected
+                                  : found == m.objects.end();
+    if (!holds) {
+        return error{result_code::platform_conflict, ""};
+    }
+    m.objects[e.key] = {e.key, ++m.versions, e.body};
+    return m.versions;
+}
+
+/// One call of the platform with its fault. `call` takes effect and gives the answer's event;
+/// `fail` gives the event of an answer that did not come.
+struct store_step {
+    std::size_t host = 0;
+    std::uint64_t life = 0;
+    std::function<claim_event()> call;
+    std::function<claim_event(result_code)> fail;
+};
+
+void finish_call(model& m, const store_step& s, const claim_event& e, milliseconds delay)
+{
+    at(m, m.now + delay, [&m, s, e] { deliver(m, s.host, s.life, e); });
+}
+
+/// Takes effect at the platform, or is refused by its outage.
+void reach_platform(model& m, const store_step& s, bool answer_arrives, milliseconds answer_delay,
+                    bool twice)
+{
+    if (m.now < m.platform_down_until) {
+        finish_call(m, s, s.fail(result_code::platform_unavailable), peer_delay);
+        return;
+    }
+    if (m.now < m.hosts[s.host].cut_until) {
+        finish_call(m, s, s.fail(result_code::platform_unavailable), call_timeout);
+        return;
+    }
+    const auto answer = s.call();
+    if (answer_arrives) {
+        finish_call(m, s, answer, platform_delay + answer_delay);
+    }
+    if (twice) {
+        s.call();
+        finish_call(m, s, answer, platform_delay + answer_delay + late_by);
+    }
+}
+
+void start_store_step(model& m, const store_step& s)
+{
+    const auto fault = next_fault(m);
+    begin_place_fault(m, s.host, fault);
+    if (is_gone(m, s.host, s.life)) {
+        return;
+    }
+    const bool hears_nothing = fault == claim_fault::lost_before ||
+                               fault == claim_fault::lost_after || fault == claim_fault::late;
+    if (hears_nothing) {
+        finish_call(m, s, s.fail(result_code::platform_answer_lost), call_timeout);
+    }
+    if (fault == claim_fault::lost_before) {
+        return;
+    }
+    const auto travel = fault == claim_fault::late ? late_by : platform_delay;
+    const auto answer_delay =
+        fault == claim_fault::late_answer ? call_timeout - 2 * platform_delay : milliseconds{0};
+    at(m, m.now + travel, [&m, s, hears_nothing, answer_delay, fault] {
+        reach_platform(m, s, !hears_nothing, answer_delay, fault == claim_fault::twice);
+    });
+}
+
+void perform(model& m, std::size_t host, const read_claims_effect& e)
+{
+    start_store_step(m, {host, m.hosts[host].life,
+                         [&m, e] {
+                             return claim_event{claim_read_event{e.call, read_object(m, e.key)}};
+                         },
+                         [e](result_code code) {
+                             return claim_event{claim_read_event{e.call, error{code, ""}}};
+                         }});
+}
+
+void perform(model& m, std::size_t host, const write_claims_effect& e)
+{
+    start_store_step(m, {host, m.hosts[host].life,
+                         [&m, e] {
+                             return claim_event{claim_written_event{e.call, write_object(m, e)}};
+                         },
+                         [e](result_code code) {
+                             return claim_event{claim_written_event{e.call, error{code, ""}}};
+                         }});
+}
+
+void send_message(model& m, std::size_t from, const claim_message_effect& e, milliseconds delay)
+{
+    at(m, m.now + delay, [&m, from, e] {
+        for (std::size_t i = 0; i < host_count; ++i) {
+            const bool cut = m.now < m.hosts[i].cut_until || m.now < m.hosts[from].cut_until;
+            if (name_of_host(i) == e.to && !cut) {
+                deliver(m, i, m.hosts[i].life, claim_message_event{e.message});
+            }
+        }
+    });
+}
+
+void perform(model& m, std::size_t host, const claim_message_effect& e)
+{
+    const auto life = m.hosts[host].life;
+    const auto fault = next_fault(m);
+    begin_place_fault(m, host, fault);
+    if (fault == claim_fault::lost_before || fault == claim_fault::lost_after ||
+        is_gone(m, host, life)) {
+        return;
+    }
+    const bool is_late = fault == claim_fault::late || fault == claim_fault::late_answer;
+    send_message(m, host, e, is_late ? late_by : peer_delay);
+    if (fault == claim_fault::twice) {
+        send_message(m, host, e, late_by);
+    }
+}
+
+void note_answer(model& m, std::uint64_t request, bool answered)
+{
+    auto& r = m.requests[request];
+    r.answered = answered;
+    m.report.answered = m.report.answered || (answered && r.key == m.key);
+}
+
+void finish_work(model& m, std::size_t host, std::uint64_t life, std::uint64_t request,
+                 claim_number number, claim_end end)
+{
+    if (is_gone(m, host, life)) {
+        return;
+    }
+    const claim_answer answer{200, "text/plain", "first answer", end == claim_end::ran};
+    note_answer(m, request, end == claim_end::ran);
+    deliver(m, host, life, claim_finished_event{number, end, answer});
+}
+
+/// The granted request goes to a target, which counts it.
+void run_work(model& m, std::size_t host, std::uint64_t life, std::uint64_t request,
+              claim_number number, const claim_key& key, bool answer_is_lost)
+{
+    if (is_gone(m, host, life)) {
+        return;
+    }
+    auto& r = m.requests[request];
+    r.dispatched = true;
+    if (r.refused_unrun) {
+        violate(m, "a request that was refused as not run was sent to a target");
+    }
+    if (++m.runs[key] > 1) {
+        violate(m, "a key ran twice");
+    }
+    const auto end = answer_is_lost ? claim_end::unknown : claim_end::ran;
+    at(m, m.now + work_time, [&m, host, life, request, number, end] {
+        finish_work(m, host, life, request, number, end);
+    });
+}
+
+void dispatch(model& m, std::size_t host, const claim_verdict_effect& e, const claim_key& key)
+{
+    const auto life = m.hosts[host].life;
+    const auto fault = next_fault(m);
+    begin_place_fault(m, host, fault);
+    if (is_gone(m, host, life)) {
+        return;
+    }
+    if (fault == claim_fault::lost_before) {
+        // Nothing was written to the target, which proves that the request was not run.
+        at(m, m.now + call_timeout, [&m, host, life, e] {
+            finish_work(m, host, life, e.request, e.number, claim_end::not_run);
+        });
+        return;
+    }
+    const auto paused = std::max(m.hosts[host].paused_until - m.now, milliseconds{0});
+    const auto travel = fault == claim_fault::late ? late_by : peer_delay + paused;
+    const bool answer_is_lost = fault == claim_fault::lost_after;
+    at(m, m.now + travel, [&m, host, life, e, key, answer_is_lost] {
+        run_work(m, host, life, e.request, e.number, key, answer_is_lost);
+    });
+}
+
+bool says_not_run(result_code code)
+{
+    return code != result_code::claim_still_running && code != result_code::claim_outcome_unknown &&
+           code != result_code::claim_answer_not_kept;
+}
+
+void perform(model& m, std::size_t host, const claim_verdict_effect& e)
+{
+    auto& r = m.requests[e.request];
+    if (std::holds_alternative<claim_granted>(e.verdict)) {
+        dispatch(m, host, e, r.key);
+    } else if (const auto* replayed = std::get_if<claim_replayed>(&e.verdict)) {
+        note_answer(m, e.request, true);
+        if (replayed->answer.body != "first answer") {
+            violate(m, "a resend got another answer than the first");
+        }
+    } else {
+        const auto code = std::get<claim_refused>(e.verdict).code;
+        if (r.key == m.key) {
+            m.report.last_word_unknown = code == result_code::claim_outcome_unknown;
+        }
+        r.refused_unrun = says_not_run(code);
+        if (r.refused_unrun && r.dispatched) {
+            violate(m, "a request that ran was refused as not run");
+        }
+    }
+}
+
+/// A cheap fingerprint of all that decides what happens next.
+void note_state(model& m)
+{
+    std::size_t seed = 0;
+    for (const auto& h : m.hosts) {
+        boost::hash_combine(seed, h.life);
+        boost::hash_combine(seed, m.now < h.paused_until);
+        boost::hash_combine(seed, m.now < h.cut_until);
+        boost::hash_combine(seed, h.state.waiting.size());
+        boost::hash_combine(seed, h.state.running.size());
+        boost::hash_combine(seed, h.state.unsaved.size());
+        boost::hash_combine(seed, h.state.own.size());
+        for (const auto& [id, lane] : h.state.lanes) {
+            boost::hash_combine(seed, static_cast<int>(lane.stage));
+            boost::hash_combine(seed, lane.wants.size());
+            boost::hash_combine(seed, lane.outcomes.size());
+            boost::hash_combine(seed, lane.batch.size());
+            boost::hash_combine(seed, lane.log.last.version.value_or(0));
+            boost::hash_combine(seed, lane.log.void_ids.size());
+        }
+    }
+    for (const auto& [key, object] : m.objects) {
+        boost::hash_combine(seed, object.body);
+    }
+    boost::hash_combine(seed, m.actions.size());
+    m.report.states.insert(seed);
+}
+
+void deliver(model& m, std::size_t host, std::uint64_t life, const claim_event& e)
+{
+    if (is_gone(m, host, life)) {
+        return;
+    }
+    auto& h = m.hosts[host];
+    if (m.now < h.paused_until) {
+        at(m, h.paused_until, [&m, host, life, e] { deliver(m, host, life, e); });
+        return;
+    }
+    renew_view(m, host);
+    const auto todo = reduce_claims(h.state, h.view, e, to_monotonic(m.now), to_wall(m.now));
+    for (const auto& effect : todo) {
+        if (is_gone(m, host, life)) {
+            break; // The host died amid its effects.
+        }
+        std::visit([&](const auto& one) { perform(m, host, one); }, effect);
+    }
+    note_state(m);
+}
+
+void tick(model& m, std::size_t host)
+{
+    deliver(m, host, m.hosts[host].life, claim_tick_event{});
+    if (m.now < scenario_time) {
+        const auto next = std::max(m.now, m.hosts[host].paused_until) + tick_gap;
+        at(m, next, [&m, host] { tick(m, host); });
+    }
+}
+
+/// A caller's try through `host`; without an answer in time it tries the next host.
+void send_request(model& m, std::size_t host, std::uint64_t request, const claim_key& key,
+                  unsigned tries_left)
+{
+    m.requests[request] = {key, false, false, false};
+    const claim_wanted_event wanted{request, key, 7, to_monotonic(m.now + request_deadline)};
+    deliver(m, host, m.hosts[host].life, wanted);
+    if (tries_left == 0) {
+        return;
+    }
+    at(m, m.now + caller_patience, [&m, host, request, key, tries_left] {
+        if (!m.requests[request].answered) {
+            send_request(m, (host + 1) % host_count, request + 1, key, tries_left - 1);
+        }
+    });
+}
+
+claim_key make_key(std::uint8_t last)
+{
+    claim_key key{};
+    const auto ms = start_wall_ms;
+    for (unsigned i = 0; i < 6; ++i) {
+        key.data[i] = static_cast<std::uint8_t>(ms >> (8U * (5U - i)));
+    }
+    key.data[6] = 0x70;
+    key.data[8] = 0x80;
+    key.data[15] = last;
+    return key;
+}
+
+/// Two keys of the same log, so that one write carries both.
+void choose_keys(model& m)
+{
+    m.key = make_key(1);
+    std::uint8_t last = 2;
+    do {
+        m.other_key = make_key(last++);
+    } while (bucket_of(m.other_key) != bucket_of(m.key));
+}
+
+void check_end(model& m)
+{
+    m.report.runs = m.runs[m.key];
+    const bool has_word = m.report.answered || m.report.last_word_unknown;
+    if (!has_word) {
+        violate(m, "long after all faults a resend still gets neither an answer nor a last word");
+    }
+    if (m.report.answered && m.runs[m.key] == 0) {
+        violate(m, "an answer was given without a run");
+    }
+}
+
+} // namespace
+
+claim_run_report run_claim_scenario(const fault_plan& plan)
+{
+    constexpr unsigned resends = 5;
+    constexpr std::uint64_t parallel_request = 100;
+    constexpr std::uint64_t other_request = 200;
+    constexpr std::uint64_t last_request = 300;
+    model m(plan);
+    choose_keys(m);
+    for (std::size_t i = 0; i < host_count; ++i) {
+        at(m, milliseconds(10 * i), [&m, i] { tick(m, i); });
+    }
+    at(m, milliseconds(100), [&m] { send_request(m, 0, 1, m.key, resends); });
+    at(m, milliseconds(101), [&m] { send_request(m, 1, parallel_request, m.key, 1); });
+    at(m, milliseconds(101), [&m] { send_request(m, 2, other_request, m.other_key, 1); });
+    at(m, last_resend_at, [&m] { send_request(m, 2, last_request, m.key, resends); });
+    while (!m.actions.empty()) {
+        auto next = m.actions.top();
+        m.actions.pop();
+        m.now = next.at;
+        next.act();
+    }
+    check_end(m);
+    return std::move(m.report);
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/control/fleet_world.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "control/reducer.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// A small world for the whole reducer: two failure domains of two hosts each and a platform
+/// that operators write to. Time is virtual and every run is repeatable.
+namespace almondquay {
+
+enum class fleet_fault {
+    none,
+    lost,              ///< the step's message or call is lost
+    late,              ///< it arrives long after
+    twice,             ///< it arrives twice
+    host_paused,       ///< the step's host stops for a while, then goes on
+    host_replaced,     ///< the step's host dies and starts anew with nothing kept
+    platform_down,     ///< the platform answers nobody for a while
+    platform_restored, ///< the platform goes back to an older state
+    domain_cut,        ///< the step's failure domain reaches nobody else for a while
+    last = domain_cut,
+};
+
+using fleet_fault_plan = std::map<std::uint32_t, fleet_fault>;
+
+struct fleet_run_report {
+    std::uint32_t steps = 0;
+    std::vector<std::string> violations;
+    std::chrono::milliseconds in_force_everywhere{0}; ///< after the latest acceptance
+    std::set<std::uint64_t> states;
+};
+
+/// Starts four hosts, applies generations 1 to 3 and drains a target, under the planned faults.
+/// Checks after each event that no host goes back to a lower generation, and at the end that the
+/// highest accepted generation is in force everywhere.
+fleet_run_report run_fleet_scenario(const fleet_fault_plan& plan);
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/peer/peer_test.cpp
@@ -0,0 +1,122 @@
+#include "peer/gossip_message.h"
+#include "peer/host_status.h"
+#include "peer/rpc_server.h"
+
+#include <random>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace almondquay {
+
+namespace {
+
+const shared_secret secret{"a secret for the tests"};
+
+gossip_message sample_message()
+{
+    return {host_id("a"),
+            {1'800'000'000'000, 3},
+            generation(7),
+            0xfedcba9876543210U,
+            {{host_id("a"), incarnation(5), 9, false}, {host_id("b"), incarnation(6), 1, true}}};
+}
+
+http::request signed_request(const std::string& body, const shared_secret& with)
+{
+    return {"POST", "/rpc", {{std::string(signature_header), sign(with, body)}}, body};
+}
+
+std::unique_ptr<rpc_server> echo_server()
+{
+    rpc_methods methods;
+    methods["echo"] = [](const std::string& argument) { return argument; };
+    return rpc_server::create(secret, std::move(methods));
+}
+
+} // namespace
+
+class peer_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(peer_test);
+    CPPUNIT_TEST(gossip_survives_a_round_trip);
+    CPPUNIT_TEST(unauthenticated_gossip_is_refused);
+    CPPUNIT_TEST(any_bytes_are_refused_or_read);
+    CPPUNIT_TEST(full_gossip_fits_a_datagram);
+    CPPUNIT_TEST(rpc_answers_signed_calls_only);
+    CPPUNIT_TEST(rpc_survives_malformed_calls);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void gossip_survives_a_round_trip()
+    {
+        const auto decoded = decode_gossip(encode(sample_message(), secret), secret);
+        CPPUNIT_ASSERT(value_of(decoded) == sample_message());
+    }
+
+    void unauthenticated_gossip_is_refused()
+    {
+        const auto datagram = encode(sample_message(), {"the secret of somebody else"});
+        CPPUNIT_ASSERT(code_of(decode_gossip(datagram, secret)) ==
+                       result_code::peer_unauthenticated);
+        CPPUNIT_ASSERT(code_of(decode_gossip("", secret)) == result_code::peer_unauthenticated);
+    }
+
+    /// Bytes are changed below a valid signature, so that the decoder itself is reached.
+    void any_bytes_are_refused_or_read()
+    {
+        std::mt19937 random(3);
+        const auto good = encode(sample_message(), secret).substr(sign(secret, "").size());
+        for (int i = 0; i < 20'000; ++i) {
+            auto body = good;
+            for (unsigned change = 0; change < 1 + random() % 4; ++change) {
+                body[random() % body.size()] = static_cast<char>(random());
+            }
+            body.resize(random() % (body.size() + 1));
+            decode_gossip(sign(secret, body) + body, secret);
+            decode_host_status(body);
+        }
+    }
+
+    void full_gossip_fits_a_datagram()
+    {
+        auto message = sample_message();
+        message.beats.clear();
+        for (std::size_t i = 0; i < max_beats_per_message; ++i) {
+            message.beats.push_back({host_id("gaziantep-a-" + std::to_string(100 + i)),
+                                     incarnation(1'800'000'000'000), 1U << 31U, false});
+        }
+        CPPUNIT_ASSERT(encode(message, secret).size() <= max_datagram_bytes);
+    }
+
+    void rpc_answers_signed_calls_only()
+    {
+        const std::string call =
+            R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"argument":"hello"}})";
+        const auto server = echo_server();
+        const auto answer = server->handle(signed_request(call, secret));
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT(answer.body.find("\"hello\"") != std::string::npos);
+        const shared_secret other{"the secret of somebody else"};
+        CPPUNIT_ASSERT_EQUAL(403U, server->handle(signed_request(call, other)).status);
+        CPPUNIT_ASSERT_EQUAL(403U, server->handle({"POST", "/rpc", {}, call}).status);
+    }
+
+    void rpc_survives_malformed_calls()
+    {
+        std::mt19937 random(4);
+        const std::string good =
+            R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"argument":"hello"}})";
+        const auto server = echo_server();
+        for (int i = 0; i < 5'000; ++i) {
+            auto body = good;
+            for (unsigned change = 0; change < 1 + random() % 4; ++change) {
+                body[random() % body.size()] = static_cast<char>(random());
+            }
+            body.resize(random() % (body.size() + 1));
+            CPPUNIT_ASSERT_EQUAL(200U, server->handle(signed_request(body, secret)).status);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_test);
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/support/test_main.cpp
@@ -0,0 +1,23 @@
+#include <iostream>
+
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+/// Runs every registered test of a package and says how many passed.
+int main()
+{
+    CppUnit::TestResult controller;
+    CppUnit::TestResultCollector collector;
+    controller.addListener(&collector);
+    CppUnit::BriefTestProgressListener progress;
+    controller.addListener(&progress);
+    CppUnit::TestRunner runner;
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    runner.run(controller);
+    CppUnit::CompilerOutputter(&collector, std::cerr).write();
+    return collector.wasSuccessful() && collector.runTests() > 0 ? 0 : 1;
+}
