--- a/source/almondquay/command_line.cpp
+++ b/source/almondquay/command_line.cpp
@@ -100,7 +100,7 @@
     TCLAP::UnlabeledMultiArg<std::string> operands("words", "command and operands", false, "WORD",
                                                    tclap);
     tclap.parse(argc, argv);
-    const auto words = operands.getValue();
+    const auto& words = operands.getValue();
     if (help.getValue() || words.empty()) {
         return error{result_code::usage_error, ""};
     }
--- a/source/almondquay/host_commands.cpp
+++ b/source/almondquay/host_commands.cpp
@@ -124,8 +124,8 @@
         return result_code::ok;
     }
     for (const auto& d : value_of(merged)) {
-        std::cout << format_time(d.time) << "  " << std::left << std::setw(10) << d.host
-                  << std::setw(34) << d.id << d.summary << '\n';
+        std::cout << format_time(d.time) << "  " << std::left << std::setw(16) << d.host << " "
+                  << std::setw(34) << d.id << " " << d.summary << '\n';
     }
     return result_code::ok;
 }
--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -149,7 +149,7 @@
                                     d.settings.max_connections};
     const traffic_events events{
         [emit](target_report_event report) { emit(std::move(report)); },
-        [emit](claim_wanted_event wanted) { emit(claim_event{std::move(wanted)}); },
+        [emit](claim_wanted_event wanted) { emit(claim_event{wanted}); },
         [emit](claim_finished_event finished) { emit(claim_event{std::move(finished)}); }};
     auto traffic = traffic_server::create(settings, *d.metrics, events);
     if (!succeeded(traffic)) {
@@ -166,16 +166,16 @@
     };
     d.store = http_object_store::create(d.io, d.settings.platform, d.settings.platform_timeout);
     d.client = http::client::create(d.io);
-    const auto peer_side = open_peer_side(d);
+    auto peer_side = open_peer_side(d);
     if (!succeeded(peer_side)) {
         return peer_side;
     }
-    const auto caller_side = open_caller_side(d, emit);
+    auto caller_side = open_caller_side(d, emit);
     if (!succeeded(caller_side)) {
         return caller_side;
     }
-    d.rpc =
-        rpc_server::create(d.settings.secret, make_operator_api(d.state, d.timeline, *d.traffic, emit));
+    d.rpc = rpc_server::create(d.settings.secret,
+                               make_operator_api(d.state, d.timeline, *d.traffic, emit));
     d.effects_runner = {&d.settings,     d.store.get(), d.client.get(), d.gossip.get(),
                         d.traffic.get(), &d.timeline,   emit,           [&d] { d.io.stop(); }};
     return done{};
@@ -190,7 +190,7 @@
     d.state =
         make_control_state({settings.host, settings.domain, incarnation(life), settings.seeds},
                            life ^ std::hash<host_id>{}(settings.host));
-    const auto opened = open_all(d);
+    auto opened = open_all(d);
     if (!succeeded(opened)) {
         return opened;
     }
--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -80,7 +80,10 @@
              [](const result<std::string>&) {});
 }
 
-void run(interpreter& i, const claim_verdict_effect& e) { i.traffic->give_verdict(e); }
+void run(interpreter& i, const claim_verdict_effect& e)
+{
+    i.traffic->give_verdict(e);
+}
 
 void run(interpreter& i, const send_gossip_effect& e)
 {
--- a/source/almondquayd/operator_api.cpp
+++ b/source/almondquayd/operator_api.cpp
@@ -25,8 +25,7 @@
 } // namespace
 
 rpc_methods make_operator_api(const control_state& state, const timeline_ring& timeline,
-                              const traffic_server& traffic,
-                              std::function<void(event_body)> emit)
+                              const traffic_server& traffic, std::function<void(event_body)> emit)
 {
     rpc_methods methods;
     methods["fleet"] = [&state](const std::string&) { return answer_fleet(state); };
--- a/source/claims/claim_key.cpp
+++ b/source/claims/claim_key.cpp
@@ -36,7 +36,10 @@
     return error{result_code::key_malformed, std::string(text.substr(0, text_length))};
 }
 
-std::string text_of(const claim_key& key) { return boost::uuids::to_string(key); }
+std::string text_of(const claim_key& key)
+{
+    return boost::uuids::to_string(key);
+}
 
 std::uint64_t minted_ms(const claim_key& key)
 {
@@ -53,7 +56,10 @@
         static_cast<std::uint32_t>(XXH3_64bits(key.data, sizeof key.data) % bucket_count));
 }
 
-slice_number slice_of(const claim_key& key) { return slice_number(slice_at(minted_ms(key))); }
+slice_number slice_of(const claim_key& key)
+{
+    return slice_number(slice_at(minted_ms(key)));
+}
 
 result<done> check_age(const claim_key& key, wall_time now)
 {
--- a/source/claims/claim_lane.cpp
+++ b/source/claims/claim_lane.cpp
@@ -60,8 +60,18 @@
     claim_verdict verdict;
 };
 
-settlement settle_against(const claim_entry& entry, const pending_want& want,
-                          const live_lives& alive)
+/// What the claim's holder has told of its end, though it is not durable yet. That it ran, or may
+/// have run, is true all the same; that it did not run must be durable before it frees the key.
+const outcome_record* find_told_outcome(const claim_lane& lane, const claim_id& id)
+{
+    const auto found =
+        std::ranges::find(lane.outcomes, id, [](const pending_outcome& p) { return p.outcome.id; });
+    const bool is_told = found != lane.outcomes.end() && found->outcome.end != claim_end::not_run;
+    return is_told ? &found->outcome : nullptr;
+}
+
+settlement settle_against(const claim_lane& lane, const claim_entry& entry,
+                          const pending_want& want, const live_lives& alive)
 {
     if (entry.id == want.claim.id && !entry.end) {
         return {next_step::answer, claim_granted{}};
@@ -72,6 +82,9 @@
     if (entry.end) {
         return {next_step::answer, verdict_for_ended(entry)};
     }
+    if (const auto* told = find_told_outcome(lane, entry.id)) {
+        return {next_step::answer, verdict_for_ended({entry.id, 0, told->end, told->answer})};
+    }
     if (!want.is_settled_view) {
         return {next_step::look_again, {}};
     }
@@ -92,7 +105,7 @@
     if (entry == lane.log.entries.end() || entry->second.end == claim_end::not_run) {
         return {next_step::append, {}};
     }
-    return settle_against(entry->second, want, alive);
+    return settle_against(lane, entry->second, want, alive);
 }
 
 /// Answers the claims that need no write. Returns whether one of them needs a fresh read.
--- a/source/claims/claim_log.cpp
+++ b/source/claims/claim_log.cpp
@@ -30,7 +30,10 @@
     }
 }
 
-bool is_full(const last_segment& last) { return last.bytes >= full_segment_bytes; }
+bool is_full(const last_segment& last)
+{
+    return last.bytes >= full_segment_bytes;
+}
 
 } // namespace
 
--- a/source/claims/claim_message.cpp
+++ b/source/claims/claim_message.cpp
@@ -1,5 +1,6 @@
 #include "claims/claim_message.h"
 
+#include "common/overloaded.h"
 #include <nlohmann/json.hpp>
 
 namespace almondquay {
@@ -8,10 +9,6 @@
 
 using json = nlohmann::json;
 
-template <class... Handlers> struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 json id_json(const claim_id& id)
 {
     return {{"host", id.host.value}, {"life", id.life.value}, {"number", id.number}};
--- a/source/claims/claim_record.cpp
+++ b/source/claims/claim_record.cpp
@@ -37,12 +37,12 @@
 
 json to_json(const outcome_record& r)
 {
-    return json::array({static_cast<int>(record_kind::outcome), key_to_json(r.key),
-                        r.id.host.value, r.id.life.value, r.id.number, static_cast<int>(r.end),
-                        r.answer.status, r.answer.content_type,
-                        json::binary(std::vector<std::uint8_t>(r.answer.body.begin(),
-                                                               r.answer.body.end())),
-                        r.answer.is_kept});
+    return json::array(
+        {static_cast<int>(record_kind::outcome), key_to_json(r.key), r.id.host.value,
+         r.id.life.value, r.id.number, static_cast<int>(r.end), r.answer.status,
+         r.answer.content_type,
+         json::binary(std::vector<std::uint8_t>(r.answer.body.begin(), r.answer.body.end())),
+         r.answer.is_kept});
 }
 
 claim_id id_from_json(const json& value)
@@ -65,7 +65,9 @@
         throw json::other_error::create(501, "unknown record", nullptr);
     }
     const auto& body = value.at(8).get_binary();
-    return outcome_record{key, id, static_cast<claim_end>(end),
+    return outcome_record{key,
+                          id,
+                          static_cast<claim_end>(end),
                           {value.at(6).get<unsigned>(), value.at(7).get<std::string>(),
                            std::string(body.begin(), body.end()), value.at(9).get<bool>()}};
 }
--- a/source/claims/claim_reducer.cpp
+++ b/source/claims/claim_reducer.cpp
@@ -1,5 +1,6 @@
 #include "claims/claim_reducer.h"
 
+#include "common/overloaded.h"
 #include <algorithm>
 
 #include <xxhash.h>
@@ -8,10 +9,6 @@
 
 namespace {
 
-template <class... Handlers> struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 /// One call of the reducer: its parts have the same lifetime and always go together.
 struct step {
     claim_state& state;
--- a/source/control/decisions.cpp
+++ b/source/control/decisions.cpp
@@ -19,7 +19,7 @@
     made.causes = std::move(draft.causes);
     made.inputs = std::move(draft.inputs);
     std::erase(made.causes, "");
-    const auto id = made.id;
+    auto id = made.id;
     out.emplace_back(record_effect{std::move(made)});
     return id;
 }
--- a/source/control/effect.h
+++ b/source/control/effect.h
@@ -64,9 +64,10 @@
 /// Ends the process.
 struct exit_effect {};
 
-using effect =
-    std::variant<publish_effect, watch_fleet_effect, write_fleet_effect, fetch_fleet_effect,
-                 send_gossip_effect, probe_effect, record_effect, stop_traffic_effect, exit_effect, read_claims_effect, write_claims_effect, send_claim_message_effect, claim_verdict_effect>;
+using effect = std::variant<publish_effect, watch_fleet_effect, write_fleet_effect,
+                            fetch_fleet_effect, send_gossip_effect, probe_effect, record_effect,
+                            stop_traffic_effect, exit_effect, read_claims_effect,
+                            write_claims_effect, send_claim_message_effect, claim_verdict_effect>;
 using effects = std::vector<effect>;
 
 } // namespace almondquay
--- a/source/control/event.h
+++ b/source/control/event.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "common/hybrid_clock.h"
 #include "claims/claim_effect.h"
+#include "common/hybrid_clock.h"
 #include "config/fleet_envelope.h"
 #include "peer/gossip_message.h"
 #include "platform/object_store.h"
@@ -55,9 +55,9 @@
 /// The traffic threads have finished their last request.
 struct traffic_ended_event {};
 
-using event_body =
-    std::variant<tick_event, fleet_read_event, fleet_written_event, peer_fleet_event, gossip_event,
-                 target_report_event, probe_ended_event, stop_requested_event, traffic_ended_event, claim_event>;
+using event_body = std::variant<tick_event, fleet_read_event, fleet_written_event, peer_fleet_event,
+                                gossip_event, target_report_event, probe_ended_event,
+                                stop_requested_event, traffic_ended_event, claim_event>;
 
 /// An event and the time at which it was taken from the queue.
 struct event {
--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -1,5 +1,6 @@
 #include "control/reducer.h"
 
+#include "common/overloaded.h"
 #include "control/claim_bridge.h"
 #include "control/decisions.h"
 #include "control/fleet_adoption.h"
@@ -11,10 +12,6 @@
 
 namespace {
 
-template <class... Handlers> struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 void request_stop(control_state& state, const event& e, effects& out)
 {
     const bool is_stopping =
--- a/source/timeline/explain.cpp
+++ b/source/timeline/explain.cpp
@@ -37,8 +37,8 @@
         return std::tie(a.time, a.id) < std::tie(b.time, b.id);
     };
     std::ranges::sort(merged, earlier);
-    const auto repeats = std::ranges::unique(merged, {}, &decision::id);
-    merged.erase(repeats.begin(), repeats.end());
+    const auto same = [](const decision& a, const decision& b) { return a.id == b.id; };
+    merged.erase(std::unique(merged.begin(), merged.end(), same), merged.end());
     return merged;
 }
 
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -48,8 +48,8 @@
 };
 
 /// For repeatable requests only: other work runs to its end, so that a caller that asks again
-/// gets the first answer. Notices that the caller has closed its connection while the target works, and carries the
-/// cancellation on by closing the connection to the target.
+/// gets the first answer. Notices that the caller has closed its connection while the target works,
+/// and carries the cancellation on by closing the connection to the target.
 struct caller_watch {
     connection_ptr upstream;
     bool caller_gone = false;
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 
 namespace almondquay {
 
@@ -24,6 +25,43 @@
 /// the connection closes.
 constexpr std::size_t read_ahead_bytes = 4UL * 1024;
 
+/// Ends a read from the caller after a time, but leaves the connection open for a refusal, which
+/// the stream's own timeout does not.
+class read_limit {
+public:
+    read_limit(caller_connection& connection, std::chrono::seconds limit)
+        : timer_(connection.stream.get_executor(), limit), state_(std::make_shared<shared_state>())
+    {
+        connection.stream.expires_never();
+        timer_.async_wait([state = state_, &connection](const error_code& problem) {
+            if (!problem && !state->ended) {
+                state->expired = true;
+                connection.stream.cancel();
+            }
+        });
+    }
+    ~read_limit() { state_->ended = true; }
+    read_limit(const read_limit&) = delete;
+    read_limit& operator=(const read_limit&) = delete;
+
+    /// Translates the cancelled read of an expired limit to a timeout.
+    void translate(error_code& problem) const
+    {
+        if (problem && state_->expired) {
+            problem = make_error_code(beast::error::timeout);
+        }
+    }
+
+private:
+    struct shared_state {
+        bool ended = false;
+        bool expired = false;
+    };
+
+    asio::steady_timer timer_;
+    std::shared_ptr<shared_state> state_;
+};
+
 result_code code_of_read_failure(const error_code& problem)
 {
     if (problem == beast::http::error::header_limit) {
@@ -144,9 +182,10 @@
     auto& body = request.parser->get().body();
     body.data = request.body.data();
     body.size = request.body.size();
-    request.caller->stream.expires_after(body_timeout);
+    const read_limit limit(*request.caller, body_timeout);
     co_await beast::http::async_read(request.caller->stream, request.caller->buffer,
                                      *request.parser, into(problem));
+    limit.translate(problem);
     if (problem == beast::http::error::need_buffer) {
         problem = {};
     }
@@ -223,7 +262,8 @@
     const auto refused = check_request(w, service);
     if (refused != result_code::ok) {
         count(w, "", refused, start);
-        co_return co_await refuse(w, connection, refused, outcome::not_run, parser.is_done());
+        const bool keep_alive = parser.is_done() && parser.get().keep_alive();
+        co_return co_await refuse(w, connection, refused, outcome::not_run, keep_alive);
     }
     auto request = make_request(w, connection, parser, service);
     error_code problem;
@@ -262,6 +302,15 @@
     co_return !problem;
 }
 
+asio::awaitable<void> read_header(caller_connection& connection, caller_parser& parser,
+                                  error_code& problem)
+{
+    const read_limit limit(connection, header_timeout);
+    co_await beast::http::async_read_header(connection.stream, connection.buffer, parser,
+                                            into(problem));
+    limit.translate(problem);
+}
+
 /// Reads and serves one request. False if the connection is to be closed.
 asio::awaitable<bool> serve_next(worker& w, caller_connection& connection)
 {
@@ -269,9 +318,7 @@
     parser.header_limit(max_request_header_bytes);
     parser.body_limit(boost::none);
     error_code problem;
-    connection.stream.expires_after(header_timeout);
-    co_await beast::http::async_read_header(connection.stream, connection.buffer, parser,
-                                            into(problem));
+    co_await read_header(connection, parser, problem);
     if (problem && is_plain_close(problem)) {
         co_return false;
     }
@@ -293,11 +340,14 @@
 {
     error_code ignored;
     connection.stream.socket().set_option(tcp::no_delay(true), ignored);
-    bool usable = true;
-    while (usable && co_await wait_for_request(w, connection)) {
+    bool usable = co_await wait_for_request(w, connection);
+    while (usable) {
         connection.in_request = true;
         usable = co_await serve_next(w, connection);
         connection.in_request = false;
+        if (usable) {
+            usable = co_await wait_for_request(w, connection);
+        }
     }
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
--- a/source/traffic/traffic_server.cpp
+++ b/source/traffic/traffic_server.cpp
@@ -36,14 +36,19 @@
     std::vector<std::unique_ptr<running_worker>> workers;
 };
 
-result<std::unique_ptr<traffic_server>>
-traffic_server::create(const traffic_settings& settings, metrics::registry& metrics,
-                       const traffic_events& events)
+result<std::unique_ptr<traffic_server>> traffic_server::create(const traffic_settings& settings,
+                                                               metrics::registry& metrics,
+                                                               const traffic_events& events)
 {
     auto state = std::make_unique<shared_state>();
     state->slots = slot_pool::create();
-    traffic_context context{settings.host, settings.listen, settings.max_connections,
-                            state->slots.get(), &metrics, events, 0};
+    traffic_context context{settings.host,
+                            settings.listen,
+                            settings.max_connections,
+                            state->slots.get(),
+                            &metrics,
+                            events,
+                            0};
     for (std::uint32_t i = 0; i < settings.threads; ++i) {
         context.first_request = i * requests_per_thread;
         auto w = std::make_unique<running_worker>(context);
--- a/source/traffic/traffic_server.h
+++ b/source/traffic/traffic_server.h
@@ -22,9 +22,9 @@
 class traffic_server {
 public:
     /// Starts the threads. `events` are called from them. Errors: usage_error.
-    static result<std::unique_ptr<traffic_server>>
-    create(const traffic_settings& settings, metrics::registry& metrics,
-           const traffic_events& events);
+    static result<std::unique_ptr<traffic_server>> create(const traffic_settings& settings,
+                                                          metrics::registry& metrics,
+                                                          const traffic_events& events);
     ~traffic_server();
     traffic_server(const traffic_server&) = delete;
     traffic_server& operator=(const traffic_server&) = delete;
--- a/source/traffic/upstream_pool.cpp
+++ b/source/traffic/upstream_pool.cpp
@@ -49,7 +49,7 @@
     auto& connections = found->second;
     while (!connections.empty()) {
         // The most recently used one is the least likely to be stale.
-        const connection_ptr latest(&connections.back(), false);
+        connection_ptr latest(&connections.back(), false);
         connections.pop_back();
         const auto age = std::chrono::steady_clock::now() - latest->idle_since;
         if (age < max_idle_time && !is_readable(*latest)) {
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -40,8 +40,7 @@
 
 /// A claimed request that waits for its verdict.
 struct verdict_wait {
-    explicit verdict_wait(asio::io_context& io)
-        : signal(io, asio::steady_timer::time_point::max())
+    explicit verdict_wait(asio::io_context& io) : signal(io, asio::steady_timer::time_point::max())
     {
     }
 
@@ -63,7 +62,7 @@
     snapshot_ptr snapshot;
     boost::intrusive::list<caller_connection> callers;
     std::map<std::string, retry_budget, std::less<>> budgets;
-    std::map<target_id, unsigned> failing; ///< failures in a row seen by this thread
+    std::map<target_id, unsigned> failing;           ///< failures in a row seen by this thread
     std::map<std::uint64_t, verdict_wait*> verdicts; ///< by request
     std::uint64_t requests = 0;
     bool stopping = false;
--- a/unit_tests/control/fleet_world.h
+++ b/unit_tests/control/fleet_world.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-/// A small world for the whole reducer: two failure domains of two hosts each and a platform
-/// that operators write to. Time is virtual and every run is repeatable.
+/// A small world for the whole reducer: two failure domains of three and two hosts and a
+/// platform that operators write to. Time is virtual and every run is repeatable.
 namespace almondquay {
 
 enum class fleet_fault {
@@ -34,7 +34,7 @@
     std::set<std::uint64_t> states;
 };
 
-/// Starts four hosts, applies generations 1 to 3 and drains a target, under the planned faults.
+/// Starts the hosts, applies generations 1 to 3 and drains a target, under the planned faults.
 /// Checks after each event that no host goes back to a lower generation, and at the end that the
 /// highest accepted generation is in force everywhere.
 fleet_run_report run_fleet_scenario(const fleet_fault_plan& plan);
--- /dev/null
+++ b/unit_tests/fakes/fake_relay.cpp
@@ -0,0 +1,153 @@
+#include "http/server.h"
+
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <tclap/CmdLine.h>
+
+/// A stand-in for what lies between two ends. POST /control?fault=silence at its second address
+/// makes the connections that are open go silent for good, while new ones work; fault=cut closes
+/// the listener's connections and refuses new ones until fault=heal.
+namespace {
+
+namespace asio = boost::asio;
+namespace http = almondquay::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+struct relayed {
+    explicit relayed(asio::io_context& io) : in(io), out(io) {}
+    tcp::socket in;
+    tcp::socket out;
+    bool silent = false;
+};
+
+using relayed_ptr = std::shared_ptr<relayed>;
+
+struct relay {
+    asio::io_context io{1};
+    tcp::endpoint to;
+    std::vector<std::weak_ptr<relayed>> open;
+    bool cut = false;
+};
+
+auto into(error_code& problem)
+{
+    return asio::redirect_error(asio::use_awaitable, problem);
+}
+
+asio::awaitable<void> pump(relayed_ptr r, tcp::socket& from, tcp::socket& to)
+{
+    std::array<char, 65536> buffer{};
+    error_code problem;
+    while (!problem) {
+        const auto size = co_await from.async_read_some(asio::buffer(buffer), into(problem));
+        if (!problem && !r->silent) {
+            co_await asio::async_write(to, asio::buffer(buffer.data(), size), into(problem));
+        }
+    }
+    if (!r->silent) {
+        from.close(problem);
+        to.close(problem);
+    }
+}
+
+asio::awaitable<void> join_ends(relay& all, relayed_ptr r)
+{
+    error_code problem;
+    co_await r->out.async_connect(all.to, into(problem));
+    if (problem) {
+        co_return;
+    }
+    r->in.set_option(tcp::no_delay(true), problem);
+    r->out.set_option(tcp::no_delay(true), problem);
+    asio::co_spawn(all.io, pump(r, r->in, r->out), asio::detached);
+    asio::co_spawn(all.io, pump(r, r->out, r->in), asio::detached);
+}
+
+asio::awaitable<void> listen(relay& all, tcp::endpoint at)
+{
+    tcp::acceptor acceptor(all.io, at);
+    while (true) {
+        const auto r = std::make_shared<relayed>(all.io);
+        error_code problem;
+        co_await acceptor.async_accept(r->in, into(problem));
+        if (!problem && !all.cut) {
+            all.open.push_back(r);
+            asio::co_spawn(all.io, join_ends(all, r), asio::detached);
+        }
+    }
+}
+
+void close_all(relay& all)
+{
+    for (const auto& weak : all.open) {
+        if (const auto r = weak.lock()) {
+            error_code ignored;
+            r->in.close(ignored);
+            r->out.close(ignored);
+        }
+    }
+    all.open.clear();
+}
+
+void control(relay& all, const http::request& request, const http::responder& respond)
+{
+    const auto parts = http::split_path(request.path);
+    const auto fault = http::header_of(parts.parameters, "fault");
+    if (fault == "silence") {
+        for (const auto& weak : all.open) {
+            if (const auto r = weak.lock()) {
+                r->silent = true;
+            }
+        }
+    } else if (fault == "cut") {
+        all.cut = true;
+        close_all(all);
+    } else {
+        all.cut = false;
+    }
+    respond({http::status_ok, {}, {}});
+}
+
+tcp::endpoint to_tcp(const std::string& text)
+{
+    const auto parsed = almondquay::value_of(almondquay::parse_endpoint(text));
+    return {asio::ip::make_address(parsed.address), parsed.port};
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine line("fake_relay: a stand-in for the network between two ends");
+    TCLAP::ValueArg<std::string> at("l", "listen", "address", true, "", "IP:PORT", line);
+    TCLAP::ValueArg<std::string> to("", "to", "where to", true, "", "IP:PORT", line);
+    TCLAP::ValueArg<std::string> control_at("", "control", "address", true, "", "IP:PORT", line);
+    line.parse(argc, argv);
+    relay all;
+    all.to = to_tcp(to.getValue());
+    asio::co_spawn(all.io, listen(all, to_tcp(at.getValue())), asio::detached);
+    const auto server = http::server::create(
+        all.io, almondquay::value_of(almondquay::parse_endpoint(control_at.getValue())),
+        [&all](const http::request& r, const http::responder& respond) {
+            control(all, r, respond);
+        });
+    asio::signal_set signals(all.io, SIGTERM, SIGINT);
+    signals.async_wait([&all](const error_code&, int) { all.io.stop(); });
+    all.io.run();
+    return almondquay::succeeded(server) ? 0 : 1;
+}
--- /dev/null
+++ b/unit_tests/processes/at_most_once.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Work that must not repeat, with callers that resend through any host, while hosts die, pause and
+# return and the platform is slow, loses answers and goes away. The targets' own count is the judge.
+. "$(dirname "$0")/checks.sh"
+deploy
+
+caller --service ledger --method POST --path "/stamp?ms=10" --keys --rate 60 --seconds 22 \
+    --resends 4 --connections 12 >"$work/stamps.txt" &
+stamps=$!
+sleep 1
+fault lose_writes 10
+sleep 2
+kill -KILL "$(pid_of host-1-1)"
+sleep 2
+kill -STOP "$(pid_of host-1-2)"
+sleep 4
+fault delay_ms 300
+kill -CONT "$(pid_of host-1-2)"
+sleep 2
+fault delay_ms 0
+fault down 1
+sleep 3
+during=$(post 127.0.2.1:7000 "/stamp" "$(make_key 7)" x)
+fault down 0
+sleep 1
+start_host 1 1
+sleep 2
+fault lose_writes 5
+kill -STOP "$(pid_of host-2-1)"
+wait "$stamps"
+kill -CONT "$(pid_of host-2-1)"
+sleep 1
+
+expect "no key ran twice" equal "$(repeated_keys)" 0
+expect "an outage is refused truthfully" contains "$during" "Almondquay-Result: 4008"
+expect "its refusal says not run" contains "$during" "Almondquay-Outcome: not-run"
+expect "no answer was short or somebody else's" equal "$(count_of "$work/stamps.txt" wrong)" 0
+expect "most stamps were served" test "$(count_of "$work/stamps.txt" served)" -gt 400
+
+key=$(make_key 9)
+first=$(post 127.0.2.2:7000 "/stamp?echo=one" "$key" body)
+again=$(post 127.0.3.1:7000 "/stamp?echo=one" "$key" body)
+other=$(post 127.0.4.1:7000 "/stamp?echo=one" "$key" "another body")
+expect "the first is run" contains "$first" "Almondquay-Outcome: ran"
+expect "a resend elsewhere gets the first answer" contains "$again" "Almondquay-Replayed: yes"
+expect "a key reused for another body is refused" contains "$other" "Almondquay-Result: 4005"
+
+key=$(make_key 10)
+post 127.0.2.2:7000 "/stamp?ms=1500" "$key" slow >"$work/slow.txt" &
+sleep 0.5
+running=$(post 127.0.3.1:7000 "/stamp?ms=1500" "$key" slow)
+expect "a resend meanwhile hears that it still runs" contains "$running" "Almondquay-Result: 4006"
+kill -KILL "$(pid_of host-2-2)"
+gone() { contains "$(post 127.0.3.1:7000 "/stamp?ms=1500" "$key" slow)" "Almondquay-Result: 4007"; }
+expect "after its host died the outcome is unknown" wait_until 9 gone
+expect "still no key ran twice" equal "$(repeated_keys)" 0
+cat "$work/stamps.txt"
+finish
--- /dev/null
+++ b/unit_tests/processes/caller_faults.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Targets that answer half, late, never, twice or nonsense, and callers that send nonsense, too
+# much or too slowly: numbered refusals, whole answers only, others unaffected.
+. "$(dirname "$0")/checks.sh"
+deploy
+host=127.0.1.1:7000
+
+caller --service ledger --path "/tickets?ms=5" --rate 50 --seconds 14 >"$work/others.txt" &
+others=$!
+
+answer=$(get "$host" ledger "/x?bytes=5&echo=1")
+expect "a plain request is served" contains "$answer" "200 OK"
+closed_in_time() { printf 'GET /x HTTP/1.1\r\nHost: ledger\r\nConnection: close\r\n\r\n' | { exec 7<>"/dev/tcp/${host%:*}/${host#*:}"; cat >&7; timeout 4 cat <&7 >/dev/null; }; }
+expect "a connection is closed when the caller asks for it" closed_in_time
+expect "it says that it ran" contains "$answer" "Almondquay-Outcome: ran"
+
+answer=$(post "$host" "/stamp?fault=cut" "$(make_key 1)" x)
+expect "an answer cut in its only piece is not passed on as whole" contains "$answer" "Almondquay-Result: 3010"
+expect "its outcome is unknown" contains "$answer" "Almondquay-Outcome: unknown"
+
+answer=$(get "$host" ledger "/x?fault=garbage" "Almondquay-Deadline-Ms: 1000")
+expect "an answer that is not HTTP is refused" contains "$answer" "Almondquay-Result: 3011"
+
+answer=$(get "$host" ledger "/x?fault=never" "Almondquay-Deadline-Ms: 700")
+expect "a target that never answers ends at the deadline" contains "$answer" "Almondquay-Result: 3008"
+
+answer=$(get "$host" ledger "/x?fault=twice&bytes=3"; get "$host" ledger "/x?bytes=4&echo=mine")
+expect "a second answer is never given to another request" contains "$answer" "Echo: mine"
+
+answer=$(printf 'NONSENSE\r\n\r\n' | raw "$host" 2)
+expect "a malformed request is refused" contains "$answer" "Almondquay-Result: 3001"
+
+answer=$(printf 'GET / HTTP/1.1\r\nHost: ledger\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' | raw "$host" 2)
+expect "two lengths in one request are refused" contains "$answer" "Almondquay-Result: 3001"
+
+answer=$({ printf 'GET / HTTP/1.1\r\nHost: ledger\r\nX: '; head -c 20000 /dev/zero | tr '\0' 'x'; printf '\r\n\r\n'; } | raw "$host" 2)
+expect "an oversized header is refused" contains "$answer" "Almondquay-Result: 3002"
+
+answer=$({ printf 'GET / HTTP/1.1\r\nHost: led'; sleep 11; } | raw "$host" 2)
+expect "a slow header is refused" contains "$answer" "Almondquay-Result: 3004"
+
+answer=$(get "$host" nobody "/")
+expect "an unknown service is refused" contains "$answer" "Almondquay-Result: 3005"
+
+answer=$(printf 'POST /stamp HTTP/1.1\r\nHost: ledger\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx' | raw "$host" 2)
+expect "work that must not repeat needs a key" contains "$answer" "Almondquay-Result: 4001"
+
+answer=$({ printf 'POST /stamp HTTP/1.1\r\nHost: ledger\r\nIdempotency-Key: %s\r\nContent-Length: 200000\r\nConnection: close\r\n\r\n' "$(make_key 2)"; head -c 200000 /dev/zero; } | raw "$host" 3)
+expect "a body too large for its route is refused" contains "$answer" "Almondquay-Result: 3003"
+
+wait "$others"
+expect "others got only whole answers of their own" equal "$(count_of "$work/others.txt" wrong)" 0
+expect "others lost nothing" equal "$(awk '/^lost/{print $NF}' "$work/others.txt")" 0
+expect "no target was over its slots" equal "$(over_limit)" 0
+finish
--- /dev/null
+++ b/unit_tests/processes/hosts_killed.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Entry hosts killed amid requests and amid bodies: callers see a cut, never a short whole answer;
+# a resend elsewhere is served. A graceful stop loses nothing.
+. "$(dirname "$0")/checks.sh"
+deploy
+
+caller --service archive --path "/sheets" --bytes 30000000 --connections 4 --rate 0 --seconds 6 \
+    --resends 3 >"$work/large.txt" &
+large=$!
+caller --service ledger --path "/tickets?ms=20" --rate 150 --seconds 6 --resends 3 \
+    >"$work/small.txt" &
+small=$!
+sleep 1.5
+kill -KILL "$(pid_of host-1-1)"
+sleep 1.5
+kill -TERM "$(pid_of host-2-1)"
+wait "$large" "$small"
+
+for size in large small; do
+    expect "$size: no answer was short or somebody else's" equal "$(count_of "$work/$size.txt" wrong)" 0
+    expect "$size: resends made up for every cut" equal "$(awk '/^lost/{print $NF}' "$work/$size.txt")" 0
+    expect "$size: most requests were served" test "$(count_of "$work/$size.txt" served)" -gt 20
+done
+ended() { ! kill -0 "$(pid_of host-2-1)" 2>/dev/null; }
+expect "the stopped host ended by itself" wait_until 10 ended
+expect "it exited without force" grep -q "event=stopped" "$work/host-2-1.log"
+expect "no target was over its slots" equal "$(over_limit)" 0
+finish
