Sum up places once for all look-up answers

Each answer (service x region) walked all targets for each domain. Change: slots by domain and service, live hosts by domain and linked regions are summed once.

--- a/source/claims/claim_reducer.cpp
+++ b/source/claims/claim_reducer.cpp
@@ -1,6 +1,7 @@
 #include "claims/claim_reducer.h"
 
 #include "common/overloaded.h"
+
 #include <algorithm>
 
 #include <xxhash.h>
--- a/source/control/snapshot_builder.cpp
+++ b/source/control/snapshot_builder.cpp
@@ -35,36 +35,41 @@
     return {static_cast<std::size_t>(found - all.begin()), all.size()};
 }
 
-target_route make_route(const control_state& state, const world_view& world, const target& t)
+target_route make_route(const control_state& state, const world_view& world,
+                        const host_position& place, const target& t)
 {
-    const auto [position, hosts] = position_of(state);
     target_route route;
     route.id = t.id;
     route.address = t.address;
-    route.slots = share_of(t.slots.value, t.id, position, hosts);
-    route.connections = share_of(t.connections, t.id, position, hosts);
+    route.slots = share_of(t.slots.value, t.id, place.position, place.hosts);
+    route.connections = share_of(t.connections, t.id, place.position, place.hosts);
     route.sheds_unrun = t.sheds_unrun;
     route.usable =
         !world.dead_targets.contains(t.id) && !is_drained(state.fleet.text, world.drains, t);
     return route;
 }
 
-service_routes make_routes(const control_state& state, const world_view& world, const service& s)
+/// Adds the targets of the own failure domain to their services.
+void add_targets(const control_state& state, const world_view& world, routing_snapshot& snapshot)
 {
-    const auto& text = state.fleet.text;
-    service_routes routes;
-    routes.definition = s;
-    for (const auto& [id, t] : text.targets) {
-        if (t.serves == s.id && t.domain == state.self.domain) {
-            routes.targets.push_back(make_route(state, world, t));
+    const auto place = position_of(state);
+    for (const auto& [id, t] : state.fleet.text.targets) {
+        if (t.domain == state.self.domain) {
+            snapshot.services[t.serves.value].targets.push_back(make_route(state, world, place, t));
         }
     }
+}
+
+void add_answers(const control_state& state, const place_index& places, const service& s,
+                 service_routes& routes)
+{
+    const auto& text = state.fleet.text;
+    routes.definition = s;
     for (const auto& [id, r] : text.regions) {
-        const auto choices = choose_hosts(text, world, s.id, id);
+        const auto choices = choose_hosts(text, places, s.id, id);
         routes.lookup_answers[id] =
             lookup_answer(text, s.id, state.fleet.envelope->number, choices);
     }
-    return routes;
 }
 
 } // namespace
@@ -81,9 +86,11 @@
     }
     snapshot->in_force = state.fleet.envelope->number;
     const auto world = view_of(state);
+    const auto places = make_place_index(state.fleet.text, world);
     for (const auto& [id, s] : state.fleet.text.services) {
-        snapshot->services.emplace(id.value, make_routes(state, world, s));
+        add_answers(state, places, s, snapshot->services[id.value]);
     }
+    add_targets(state, world, *snapshot);
     return snapshot;
 }
 
--- a/source/steering/lookup_plan.cpp
+++ b/source/steering/lookup_plan.cpp
@@ -17,42 +17,29 @@
            is_marked(drains, drain_kind::region, region_of(f, domain).value);
 }
 
-bool has_link(const fleet& f, const region_id& a, const region_id& b)
+std::uint32_t slots_in(const place_index& places, const failure_domain_id& domain,
+                       const service_id& id)
 {
-    return std::ranges::any_of(f.links, [&](const link& l) {
-        return (l.first == a && l.second == b) || (l.first == b && l.second == a);
-    });
+    const auto found = places.slots.find({domain, id});
+    return found == places.slots.end() ? 0 : found->second;
 }
 
-std::uint32_t own_slots(const fleet& f, const world_view& world, const failure_domain_id& domain,
-                        const service_id& id)
-{
-    std::uint32_t slots = 0;
-    for (const auto& [name, t] : f.targets) {
-        const bool counts = t.serves == id && t.domain == domain &&
-                            !world.dead_targets.contains(name) && !is_drained(f, world.drains, t);
-        slots += counts ? t.slots.value : 0;
-    }
-    return slots;
-}
-
-bool is_reachable_from(const fleet& f, const world_view& world, const region_id& from,
+bool is_reachable_from(const fleet& f, const place_index& places, const region_id& from,
                        const service_id& id)
 {
     return std::ranges::any_of(f.domains, [&](const auto& entry) {
-        const auto& in_region = entry.second.in_region;
-        const bool is_near = in_region == from || has_link(f, in_region, from);
-        return is_near && usable_slots(f, world, entry.first, id) > 0;
+        return places.linked.contains({from, entry.second.in_region}) &&
+               usable_slots(f, places, entry.first, id) > 0;
     });
 }
 
 /// 0 for the same region, 1 for a linked one, 2 for all others.
-int distance(const fleet& f, const region_id& from, const region_id& to)
+int distance(const place_index& places, const region_id& from, const region_id& to)
 {
     if (from == to) {
         return 0;
     }
-    return has_link(f, from, to) ? 1 : 2;
+    return places.linked.contains({from, to}) ? 1 : 2;
 }
 
 struct candidate {
@@ -61,24 +48,19 @@
     std::uint32_t weight = 0;
 };
 
-std::vector<candidate> candidates_in(const fleet& f, const world_view& world,
-                                     const failure_domain_id& domain, const service_id& id,
-                                     const region_id& near_region)
+void add_candidates(const fleet& f, const place_index& places, const failure_domain& domain,
+                    const service_id& id, const region_id& near_region, std::vector<candidate>& all)
 {
-    std::vector<candidate> found;
-    const auto slots = usable_slots(f, world, domain, id);
-    if (slots == 0) {
-        return found;
-    }
-    for (const auto* h : hosts_of(f, domain)) {
-        if (world.live_hosts.contains(h->id) && !is_drained(f, world.drains, *h)) {
-            found.push_back({h, distance(f, near_region, region_of(f, domain)), 0});
-        }
+    const auto slots = usable_slots(f, places, domain.id, id);
+    const auto hosts = places.hosts.find(domain.id);
+    if (slots == 0 || hosts == places.hosts.end()) {
+        return;
     }
-    for (auto& c : found) {
-        c.weight = std::max<std::uint32_t>(1, slots / static_cast<std::uint32_t>(found.size()));
+    const auto count = static_cast<std::uint32_t>(hosts->second.size());
+    const auto weight = std::max<std::uint32_t>(1, slots / count);
+    for (const auto* h : hosts->second) {
+        all.push_back({h, distance(places, near_region, domain.in_region), weight});
     }
-    return found;
 }
 
 } // namespace
@@ -95,8 +77,31 @@
            is_domain_drained(f, drains, h.domain);
 }
 
-std::uint32_t usable_slots(const fleet& f, const world_view& world, const failure_domain_id& domain,
-                           const service_id& id)
+place_index make_place_index(const fleet& f, const world_view& world)
+{
+    place_index places;
+    for (const auto& [id, t] : f.targets) {
+        if (!world.dead_targets.contains(id) && !is_drained(f, world.drains, t)) {
+            places.slots[{t.domain, t.serves}] += t.slots.value;
+        }
+    }
+    for (const auto& [id, h] : f.hosts) {
+        if (world.live_hosts.contains(id) && !is_drained(f, world.drains, h)) {
+            places.hosts[h.domain].push_back(&h);
+        }
+    }
+    for (const auto& [id, r] : f.regions) {
+        places.linked.emplace(id, id);
+    }
+    for (const auto& l : f.links) {
+        places.linked.emplace(l.first, l.second);
+        places.linked.emplace(l.second, l.first);
+    }
+    return places;
+}
+
+std::uint32_t usable_slots(const fleet& f, const place_index& places,
+                           const failure_domain_id& domain, const service_id& id)
 {
     const auto found = f.services.find(id);
     if (found == f.services.end()) {
@@ -105,18 +110,17 @@
     const auto from = region_of(f, domain);
     const bool dependencies_met =
         std::ranges::all_of(found->second.depends_on, [&](const service_id& needed) {
-            return is_reachable_from(f, world, from, needed);
+            return is_reachable_from(f, places, from, needed);
         });
-    return dependencies_met ? own_slots(f, world, domain, id) : 0;
+    return dependencies_met ? slots_in(places, domain, id) : 0;
 }
 
-std::vector<host_choice> choose_hosts(const fleet& f, const world_view& world, const service_id& id,
-                                      const region_id& near_region)
+std::vector<host_choice> choose_hosts(const fleet& f, const place_index& places,
+                                      const service_id& id, const region_id& near_region)
 {
     std::vector<candidate> all;
-    for (const auto& [domain, unused] : f.domains) {
-        std::ranges::copy(candidates_in(f, world, domain, id, near_region),
-                          std::back_inserter(all));
+    for (const auto& [unused, domain] : f.domains) {
+        add_candidates(f, places, domain, id, near_region, all);
     }
     std::ranges::stable_sort(all, {}, &candidate::distance);
     std::vector<host_choice> choices;
