Check in the claim matrix that a claim is durable before its request is sent

Cause: the mutation 'takes answers of other calls for its own' survived: no scenario had a second claim waiting while the first write was under way, and repeated answers came too late to cross. Change: a third key arrives amid the first write, a repeated answer arrives amid the next call, and the oracle looks the claim up in the platform at the moment of each dispatch.

--- a/unit_tests/claims/claim_world.cpp
+++ b/unit_tests/claims/claim_world.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds work_time{20};
 constexpr milliseconds call_timeout{1'000};
 constexpr milliseconds late_by{6'000};
+/// A repeated answer arrives while the next call of the same host is under way.
+constexpr milliseconds repeat_delay{3};
 constexpr milliseconds pause_time{12'000};
 constexpr milliseconds outage_time{5'000};
 constexpr milliseconds tick_gap{250};
@@ -72,6 +74,7 @@
     std::map<claim_key, std::uint32_t> runs;
     claim_key key{};
     claim_key other_key{};
+    claim_key third_key{};
     claim_run_report report;
 };
 
@@ -198,7 +201,7 @@
     }
     if (twice) {
         s.call();
-        finish_call(m, s, answer, platform_delay + answer_delay + late_by);
+        finish_call(m, s, answer, platform_delay + answer_delay + repeat_delay);
     }
 }
 
@@ -293,6 +296,19 @@
     deliver(m, host, life, claim_finished_event{number, end, answer});
 }
 
+/// Whether the platform has the claim, which must come before the first byte to a target.
+bool is_durable(const model& m, const claim_key& key, const claim_id& id)
+{
+    const auto is_it = [&](const log_record& record) {
+        const auto* claim = std::get_if<claim_record>(&record);
+        return claim != nullptr && claim->key == key && claim->id == id;
+    };
+    return std::ranges::any_of(m.objects, [&](const auto& entry) {
+        const auto segment = value_of(decode_segment(entry.second.body));
+        return std::ranges::any_of(segment.records, is_it);
+    });
+}
+
 /// The granted request goes to a target, which counts it.
 void run_work(model& m, std::size_t host, std::uint64_t life, std::uint64_t request,
               claim_number number, const claim_key& key, bool answer_is_lost)
@@ -305,6 +321,9 @@
     if (r.refused_unrun) {
         violate(m, "a request that was refused as not run was sent to a target");
     }
+    if (!is_durable(m, key, {name_of_host(host), incarnation(life), number})) {
+        violate(m, "a request was sent to a target before its claim was durable");
+    }
     if (++m.runs[key] > 1) {
         violate(m, "a key ran twice");
     }
@@ -453,14 +472,20 @@
     return key;
 }
 
-/// Two keys of the same log, so that one write carries both.
+/// Three keys of the same log, so that one write carries several.
 void choose_keys(model& m)
 {
     m.key = make_key(1);
     std::uint8_t last = 2;
-    do {
-        m.other_key = make_key(last++);
-    } while (bucket_of(m.other_key) != bucket_of(m.key));
+    const auto next_of_same_log = [&] {
+        auto key = make_key(last++);
+        while (bucket_of(key) != bucket_of(m.key)) {
+            key = make_key(last++);
+        }
+        return key;
+    };
+    m.other_key = next_of_same_log();
+    m.third_key = next_of_same_log();
 }
 
 void check_end(model& m)
@@ -483,6 +508,9 @@
     constexpr std::uint64_t parallel_request = 100;
     constexpr std::uint64_t other_request = 200;
     constexpr std::uint64_t last_request = 300;
+    constexpr std::uint64_t third_request = 400;
+    // Arrives while the first write is under way and so goes out with the next one.
+    constexpr milliseconds third_key_at{115};
     model m(plan);
     choose_keys(m);
     for (std::size_t i = 0; i < host_count; ++i) {
@@ -491,6 +519,7 @@
     at(m, milliseconds(100), [&m] { send_request(m, 0, 1, m.key, resends); });
     at(m, milliseconds(101), [&m] { send_request(m, 1, parallel_request, m.key, 1); });
     at(m, milliseconds(101), [&m] { send_request(m, 2, other_request, m.other_key, 1); });
+    at(m, third_key_at, [&m] { send_request(m, 2, third_request, m.third_key, 1); });
     at(m, last_resend_at, [&m] { send_request(m, 2, last_request, m.key, resends); });
     while (!m.actions.empty()) {
         auto next = m.actions.top();
