Pace gossip by a budget of bytes and let its timeouts grow with the fleet

Cause: tools/measure idle: a host of 8 sent 2152 B/s of gossip where all control may take 2000. Change: messages within a failure domain carry its hosts only, every third message leaves the domain and carries what else fits; 800 B/s with headers are paced by credit; timeouts grow with the number of hosts that share the budget.

--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -8,8 +8,14 @@
 
 namespace {
 
-constexpr std::size_t near_fanout = 2;
-constexpr std::size_t far_fanout = 1;
+constexpr std::size_t max_messages_per_tick = 3;
+/// Every third message leaves the failure domain.
+constexpr std::uint64_t far_turn = 3;
+/// What a message takes besides its beats: signature, header, time, generation, fingerprint and
+/// the headers of IP and UDP.
+constexpr std::size_t bytes_per_message = 120;
+/// What a beat takes besides its host's name.
+constexpr std::size_t bytes_per_beat = 18;
 
 bool is_near(const control_state& state, const host_id& id)
 {
@@ -31,56 +37,92 @@
     return message;
 }
 
-void add_beat(gossip_message& message, const host_id& id, const member& m)
+using member_entry = std::pair<const host_id, member>;
+
+void add_some(control_state& state, std::vector<const member_entry*> entries, std::size_t most,
+              gossip_message& message)
 {
-    if (message.beats.size() < max_beats_per_message && m.alive) {
+    std::ranges::shuffle(entries, state.random);
+    entries.resize(std::min(entries.size(), most));
+    for (const auto* entry : entries) {
+        const auto& [id, m] = *entry;
         message.beats.push_back({id, m.life, m.beat, m.leaving});
     }
 }
 
-/// Own domain's beats first; the rest of the room goes to others, from a random place on.
-void add_beats(control_state& state, gossip_message& message)
+/// Within the own domain only its hosts matter, which keeps those messages small and frequent.
+/// Messages to other domains carry what else is known too, as far as it fits.
+void add_beats(control_state& state, bool to_near, gossip_message& message)
 {
-    std::vector<const std::pair<const host_id, member>*> far;
+    std::vector<const member_entry*> near;
+    std::vector<const member_entry*> far;
     for (const auto& entry : state.membership.members) {
-        if (is_near(state, entry.first)) {
-            add_beat(message, entry.first, entry.second);
-        } else {
-            far.push_back(&entry);
+        if (entry.second.alive) {
+            (is_near(state, entry.first) ? near : far).push_back(&entry);
         }
     }
-    std::ranges::shuffle(far, state.random);
-    for (const auto* entry : far) {
-        add_beat(message, entry->first, entry->second);
+    add_some(state, std::move(near), max_beats_per_message - 1, message);
+    if (!to_near) {
+        const auto room = max_beats_per_message - message.beats.size();
+        add_some(state, std::move(far), room, message);
     }
 }
 
-void send_to_some(control_state& state, std::vector<endpoint> peers, std::size_t fanout,
-                  const gossip_message& message, effects& out)
+std::vector<endpoint> gossip_peers(const control_state& state, bool near)
 {
-    std::ranges::shuffle(peers, state.random);
-    peers.resize(std::min(peers.size(), fanout));
-    for (auto& peer : peers) {
-        out.emplace_back(send_gossip_effect{std::move(peer), message});
+    if (state.fleet.text.hosts.empty()) {
+        return state.self.seeds;
+    }
+    std::vector<endpoint> peers;
+    for (const auto& [id, h] : state.fleet.text.hosts) {
+        if (id != state.self.host && (h.domain == state.self.domain) == near) {
+            peers.push_back(h.peers);
+        }
     }
+    return peers;
 }
 
-void send_gossip(control_state& state, effects& out)
+std::size_t estimated_bytes(const gossip_message& message)
 {
+    std::size_t bytes = bytes_per_message;
+    for (const auto& beat : message.beats) {
+        bytes += bytes_per_beat + beat.id.value.size();
+    }
+    return bytes;
+}
+
+/// Sends one message to a random peer, if the budget has room for it.
+bool send_one(control_state& state, bool near, effects& out)
+{
+    auto peers = gossip_peers(state, near);
+    if (peers.empty()) {
+        return true;
+    }
     auto message = make_message(state);
-    add_beats(state, message);
-    std::vector<endpoint> near;
-    std::vector<endpoint> far;
-    for (const auto& [id, h] : state.fleet.text.hosts) {
-        if (id != state.self.host) {
-            (h.domain == state.self.domain ? near : far).push_back(h.peers);
+    add_beats(state, near, message);
+    const auto bytes = static_cast<double>(estimated_bytes(message));
+    if (bytes > state.membership.gossip_credit) {
+        return false;
+    }
+    state.membership.gossip_credit -= bytes;
+    const auto peer = state.random() % peers.size();
+    out.emplace_back(send_gossip_effect{std::move(peers[peer]), std::move(message)});
+    return true;
+}
+
+/// Sends what the budget allows, in turns: most of it within the own failure domain.
+void send_gossip(control_state& state, std::chrono::duration<double> passed, effects& out)
+{
+    auto& membership = state.membership;
+    const auto earned = std::min(passed.count(), 1.0) * gossip_bytes_per_second;
+    membership.gossip_credit = std::min(membership.gossip_credit + earned, gossip_bytes_per_second);
+    for (std::size_t sent = 0; sent < max_messages_per_tick; ++sent) {
+        const bool near = membership.gossip_turns % far_turn != 0;
+        if (!send_one(state, near, out)) {
+            return;
         }
+        ++membership.gossip_turns;
     }
-    if (state.fleet.text.hosts.empty()) {
-        near = state.self.seeds;
-    }
-    send_to_some(state, std::move(near), near_fanout, message, out);
-    send_to_some(state, std::move(far), far_fanout, message, out);
 }
 
 void mark_dead(control_state& state, const event& e, const host_id& id, member& m, effects& out)
@@ -154,16 +196,19 @@
 
 void tick_membership(control_state& state, const event& e, effects& out)
 {
+    const auto passed = e.now - state.membership.last_tick;
     forgive_own_pause(state.membership, e.now);
     ++state.membership.own_beat;
+    const auto near = near_timeout(hosts_of(state.fleet.text, state.self.domain).size());
+    const auto far = far_timeout(state.fleet.text.hosts.size());
     for (auto& [id, m] : state.membership.members) {
-        const auto timeout = is_near(state, id) ? near_timeout : far_timeout;
+        const auto timeout = is_near(state, id) ? near : far;
         if (m.alive && e.now - m.last_advance > timeout) {
             mark_dead(state, e, id, m, out);
         }
     }
     state.clock = advance(state.clock, e.wall);
-    send_gossip(state, out);
+    send_gossip(state, passed, out);
 }
 
 void take_gossip(control_state& state, const event& e, const gossip_message& message, effects& out)
--- a/source/control/membership.h
+++ b/source/control/membership.h
@@ -7,13 +7,30 @@
 /// Who is alive, by beat counters passed on between hosts.
 namespace almondquay {
 
-/// A host of the own failure domain is taken for dead after this time without a newer beat.
-constexpr std::chrono::milliseconds near_timeout{2'000};
-/// Beats from other failure domains travel over more hosts.
-constexpr std::chrono::milliseconds far_timeout{6'000};
+/// A host of the own failure domain is taken for dead after this time without a newer beat. The
+/// budget for gossip is fixed, so beats of larger domains come less often.
+constexpr std::chrono::milliseconds near_timeout(std::size_t hosts_in_domain)
+{
+    constexpr std::chrono::milliseconds shortest{2'000};
+    constexpr std::chrono::milliseconds for_each_host{600};
+    return shortest + for_each_host * hosts_in_domain;
+}
+
+/// The same for hosts of other failure domains, whose beats travel over more hosts.
+constexpr std::chrono::milliseconds far_timeout(std::size_t hosts_in_fleet)
+{
+    constexpr std::chrono::milliseconds shortest{6'000};
+    constexpr std::chrono::milliseconds for_each_host{750};
+    return shortest + for_each_host * hosts_in_fleet;
+}
+
 /// Two ticks further apart mean that this process was paused, not that all others are dead.
 constexpr std::chrono::milliseconds pause_threshold{1'000};
 
+/// What a host sends in gossip, headers included; it receives as much on average. Together with
+/// the rest of the control traffic this stays below 2 KB/s at any size of the fleet.
+constexpr double gossip_bytes_per_second = 800;
+
 /// Counts the own beat, marks silent hosts as dead and sends gossip.
 void tick_membership(control_state& state, const event& e, effects& out);
 
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -38,7 +38,9 @@
     std::map<host_id, member> members; ///< other hosts only
     std::uint64_t own_beat = 0;
     monotonic_time last_tick{};
-    std::string last_change; ///< id of the decision that last changed who is alive
+    double gossip_credit = 0;       ///< bytes that may be sent now
+    std::uint64_t gossip_turns = 0; ///< messages sent, which decides whose turn it is
+    std::string last_change;        ///< id of the decision that last changed who is alive
 };
 
 struct fleet_state {
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -112,3 +112,10 @@
     timeout 2 cat <&9 | sed '1,/^\r*$/d'
     exec 9<&-
 }
+
+http_post() { # IP:PORT path
+    exec 8<>"/dev/tcp/${1%:*}/${1#*:}" || return 1
+    printf 'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' "$2" >&8
+    timeout 2 cat <&8 >/dev/null
+    exec 8<&-
+}
--- a/unit_tests/processes/checks.sh
+++ b/unit_tests/processes/checks.sh
@@ -31,12 +31,6 @@
 
 fault() { http_post "$platform" "/control?fault=$1&value=${2:-1}"; } # of the platform
 
-http_post() { # IP:PORT path
-    exec 8<>"/dev/tcp/${1%:*}/${1#*:}" || return 1
-    printf 'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' "$2" >&8
-    timeout 2 cat <&8 >/dev/null
-    exec 8<&-
-}
 
 raw() { # IP:PORT seconds: sends standard input, prints what comes back
     exec 7<>"/dev/tcp/${1%:*}/${1#*:}" || return 1
