Spill work between failure domains within grants made ahead of time

Cause: when all targets of a failure domain died its hosts refused everything, though the text granted capacity elsewhere and callers still held their addresses. Change: a host without a free slot of its own sends a request to an entry host of a granted domain with a signed header. Parts of grants are fixed by the text, in requests and in Mbit/s, so that any set of hosts that are cut off stays within every grant. Work that must not repeat is claimed where it arrives. Targets that take no connections are believed dead at once, even if all do. Found on the way: a receiving host died of a double free. Cause: g++ 12 destroys twice what 'aggregate{co_await f()}' has moved; ruled out: the kept answer's own life. Now a statement of its own; the process test spill failed before and passes after. Property test: 200 random fleets, every sum equal to its grant.

--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -144,6 +144,8 @@
 result<done> open_caller_side(daemon_parts& d, const std::function<void(event_body)>& emit)
 {
     const traffic_settings settings{d.settings.host,
+                                    d.settings.domain,
+                                    d.settings.secret,
                                     {d.settings.address, d.settings.caller_port},
                                     d.settings.traffic_threads,
                                     d.settings.max_connections};
--- a/source/control/snapshot_builder.cpp
+++ b/source/control/snapshot_builder.cpp
@@ -60,6 +60,35 @@
     }
 }
 
+/// The parts of grants depend on the text alone, like those of slots: whoever is alive or cut off,
+/// all hosts together never exceed what was granted.
+void add_spill(const control_state& state, const place_index& places, const grant& g,
+               routing_snapshot& snapshot)
+{
+    constexpr double bits_per_byte = 8;
+    constexpr double bits_per_megabit = 1e6;
+    const auto place = position_of(state);
+    const auto receivers = hosts_of(state.fleet.text, g.to);
+    const auto live = places.hosts.find(g.to);
+    const target_id name("spill/" + g.to.value + "/" + g.of_service.value);
+    const auto own = share_of(g.in_flight, name, place.position, place.hosts);
+    for (std::size_t i = 0; i < receivers.size(); ++i) {
+        target_route route;
+        route.id.value = name.value + "/" + receivers[i]->id.value;
+        route.address = receivers[i]->callers;
+        route.slots = share_of(own, name, i, receivers.size());
+        route.is_spill = true;
+        const auto paths = static_cast<double>(place.hosts * receivers.size());
+        const auto rate = g.rate.value * bits_per_megabit / bits_per_byte / paths;
+        route.bytes_per_second = route.slots == 0 ? 0 : rate / route.slots;
+        const bool is_live = live != places.hosts.end() &&
+                             std::ranges::find(live->second, receivers[i]) != live->second.end();
+        route.usable = is_live && route.bytes_per_second > 0 &&
+                       usable_slots(state.fleet.text, places, g.to, g.of_service) > 0;
+        snapshot.services[g.of_service.value].targets.push_back(std::move(route));
+    }
+}
+
 void add_answers(const control_state& state, const place_index& places, const service& s,
                  service_routes& routes)
 {
@@ -94,6 +123,11 @@
         add_answers(state, places, s, snapshot->services[id.value]);
     }
     add_targets(state, world, *snapshot);
+    for (const auto& g : state.fleet.text.grants) {
+        if (g.from == state.self.domain) {
+            add_spill(state, places, g, *snapshot);
+        }
+    }
     return snapshot;
 }
 
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -67,6 +67,7 @@
     bool usable = true;
     unsigned failures = 0;
     unsigned good_probes = 0;
+    bool refuses = false; ///< the latest failure was a connection that was not taken
     bool probe_running = false;
     monotonic_time next_probe{};
     std::string decided_by; ///< id of the decision that set `usable`
--- a/source/control/status.cpp
+++ b/source/control/status.cpp
@@ -28,7 +28,7 @@
             t.service = name;
             t.usable = route.usable;
             t.share = route.slots;
-            t.why = route.usable ? "" : why_unusable(state, route.id);
+            t.why = route.usable || route.is_spill ? "" : why_unusable(state, route.id);
             status.targets.push_back(std::move(t));
         }
     }
--- a/source/control/target_health.cpp
+++ b/source/control/target_health.cpp
@@ -66,6 +66,7 @@
         return;
     }
     ++health.failures;
+    health.refuses = report.evidence == target_evidence::connect_failed;
     if (health.usable && health.failures >= failures_to_eject) {
         eject(state, e, report, health, out);
     }
@@ -102,6 +103,7 @@
 {
     std::map<service_id, std::size_t> all;
     std::map<service_id, std::set<target_id>> dead;
+    std::set<target_id> believed;
     for (const auto& [id, t] : state.fleet.text.targets) {
         if (t.domain != state.self.domain) {
             continue;
@@ -109,10 +111,9 @@
         ++all[t.serves];
         const auto health = state.targets.find(id);
         if (health != state.targets.end() && !health->second.usable) {
-            dead[t.serves].insert(id);
+            (health->second.refuses ? believed : dead[t.serves]).insert(id);
         }
     }
-    std::set<target_id> believed;
     for (const auto& [id, targets] : dead) {
         if (2 * targets.size() <= all[id]) {
             believed.insert(targets.begin(), targets.end());
--- a/source/steering/routing_snapshot.h
+++ b/source/steering/routing_snapshot.h
@@ -13,7 +13,8 @@
 /// What the traffic threads need to know, published whole and never changed afterwards.
 namespace almondquay {
 
-/// One target of this host's failure domain and what this host may use of it.
+/// One target of this host's failure domain, or an entry host of another one that takes spill, and
+/// what this host may use of it.
 struct target_route {
     target_id id;
     endpoint address;
@@ -21,6 +22,8 @@
     std::uint32_t connections = 0; ///< this host's share
     bool usable = false;
     bool sheds_unrun = false;
+    bool is_spill = false;       ///< an entry host of another failure domain
+    double bytes_per_second = 0; ///< of one spilled request
 };
 
 struct service_routes {
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -1,5 +1,7 @@
 #include "traffic/forward.h"
 
+#include "traffic/spill.h"
+
 #include <algorithm>
 #include <array>
 
@@ -78,7 +80,7 @@
                                                    const std::vector<target_id>& excluded,
                                                    result_code& code)
 {
-    auto taken = w.context.slots->try_take(request.service, excluded);
+    auto taken = w.context.slots->try_take(request.service, excluded, !request.is_spilled);
     if (taken) {
         co_return taken;
     }
@@ -86,6 +88,7 @@
     const auto signal = std::make_shared<asio::steady_timer>(w.io, latest);
     slot_waiter waiter;
     waiter.excluded = excluded;
+    waiter.may_spill = !request.is_spilled;
     waiter.wake = [&io = w.io, signal] { asio::post(io, [signal] { signal->cancel(); }); };
     code = w.context.slots->has_usable_target(request.service) ? result_code::no_free_slot
                                                                : result_code::no_live_target;
@@ -115,12 +118,17 @@
                     std::chrono::milliseconds{0});
 }
 
-beast::http::request<beast::http::buffer_body> make_head(const caller_request& request)
+beast::http::request<beast::http::buffer_body> make_head(const worker& w, const slot& used,
+                                                         const caller_request& request)
 {
     beast::http::request<beast::http::buffer_body> head;
     head.base() = request.parser->get().base();
     strip_hop_by_hop(head.base());
     head.version(11);
+    head.erase(spill_header);
+    if (used.is_spill) {
+        head.set(spill_header, spill_proof(w, request.service, request.parser->get()));
+    }
     head.set(deadline_header, std::to_string(time_left(request).count()));
     if (request.body_is_complete && head.chunked()) {
         head.chunked(false);
@@ -130,10 +138,12 @@
 }
 
 /// Sends the header and the body, reading what is not in memory from the caller piece by piece.
-asio::awaitable<void> send_request(upstream_connection& upstream, caller_request& request,
-                                   error_code& problem)
+asio::awaitable<void> send_request(worker& w, const slot& used, upstream_connection& upstream,
+                                   caller_request& request, error_code& problem)
 {
-    auto head = make_head(request);
+    auto head = make_head(w, used, request);
+    pacing rate{used.bytes_per_second};
+    co_await pace(w, rate, request.body.size());
     std::string piece;
     head.body().data = request.body.data();
     head.body().size = request.body.size();
@@ -155,6 +165,7 @@
             co_return;
         }
         more = !request.parser->is_done();
+        co_await pace(w, rate, piece.size() - source.size);
         head.body().data = piece.data();
         head.body().size = piece.size() - source.size;
         head.body().more = more;
@@ -193,12 +204,13 @@
 
 /// Passes the answer on piece by piece. A body that is cut short on the way in is cut short on
 /// the way out: the caller's connection is closed instead of ended as if whole.
-asio::awaitable<forward_end> pass_answer(worker& w, caller_request& request,
+asio::awaitable<forward_end> pass_answer(worker& w, caller_request& request, const slot& used,
                                          upstream_connection& upstream, upstream_parser& parser)
 {
     forward_end end{result_code::ok, outcome::ran, true, true, std::nullopt};
     const bool ends_with_close = parser.need_eof() && !parser.is_done();
     std::string piece(body_piece_bytes, '\0');
+    pacing rate{used.bytes_per_second};
     error_code problem;
     std::size_t size = 0;
     if (!parser.is_done()) {
@@ -219,6 +231,7 @@
     }
     auto& caller = request.caller->stream;
     while (true) {
+        co_await pace(w, rate, size);
         auto& body = parser.get().body();
         body.data = size == 0 ? nullptr : piece.data();
         body.size = size;
@@ -249,6 +262,9 @@
 
 bool was_shed_unrun(const slot& used, const upstream_parser& parser)
 {
+    if (used.is_spill) {
+        return parser.get()[outcome_header] == name_of(outcome::not_run);
+    }
     return used.sheds_unrun && parser.get().result() == beast::http::status::service_unavailable;
 }
 
@@ -281,7 +297,7 @@
 {
     error_code problem;
     upstream->stream.expires_at(answer_deadline(request, *upstream));
-    co_await send_request(*upstream, request, problem);
+    co_await send_request(w, used, *upstream, request, problem);
     upstream_parser parser;
     parser.header_limit(max_answer_header_bytes);
     parser.body_limit(boost::none);
@@ -306,6 +322,15 @@
                               request.body_is_complete || request.parser->is_done(),
                               {}};
     }
+    const bool peer_cannot_tell =
+        used.is_spill && parser.get()[outcome_header] == name_of(outcome::unknown);
+    if (peer_cannot_tell) {
+        co_return forward_end{result_code::target_answer_lost,
+                              outcome::unknown,
+                              false,
+                              request.body_is_complete || request.parser->is_done(),
+                              {}};
+    }
     if (was_shed_unrun(used, parser)) {
         co_return forward_end{result_code::target_shed,
                               outcome::not_run,
@@ -315,7 +340,7 @@
     }
     upstream->stream.expires_at(request.deadline);
     const bool target_keeps = parser.keep_alive();
-    auto end = co_await pass_answer(w, request, *upstream, parser);
+    auto end = co_await pass_answer(w, request, used, *upstream, parser);
     if (end.code == result_code::ok && target_keeps) {
         keep(w.upstreams, used.address, upstream);
     }
@@ -352,13 +377,18 @@
         error_code problem;
         upstream = co_await connect(w.upstreams, used.address, request.deadline, problem);
         if (problem) {
-            report_target(w, used.target, target_evidence::connect_failed);
+            if (!used.is_spill) {
+                report_target(w, used.target, target_evidence::connect_failed);
+            }
             co_return forward_end{
                 result_code::target_unreachable, outcome::not_run, false, true, {}};
         }
     }
     const bool reused = upstream->reused;
     const auto end = co_await exchange(w, request, used, upstream);
+    if (used.is_spill) {
+        co_return end; // The receiving host judges its own targets.
+    }
     note_suspicion(w, request, used, end);
     const bool is_target_failure = end.code == result_code::target_answer_lost ||
                                    end.code == result_code::target_answer_malformed ||
--- a/source/traffic/forward.h
+++ b/source/traffic/forward.h
@@ -25,6 +25,7 @@
     request_fingerprint fingerprint = 0;
     std::chrono::steady_clock::time_point deadline;
     bool repeatable = false;
+    bool is_spilled = false; ///< sent by an entry host of another failure domain
     bool keep_alive = false;
     std::string body; ///< the first piece
     bool body_is_complete = false;
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -4,6 +4,7 @@
 #include "traffic/claimed.h"
 #include "traffic/forward.h"
 #include "traffic/outcome.h"
+#include "traffic/spill.h"
 
 #include <xxhash.h>
 
@@ -220,6 +221,7 @@
     request.deadline = clock::now() + deadline_of(parser, definition);
     request.repeatable =
         is_repeatable(definition, {method.data(), method.size()}, {path.data(), path.size()});
+    request.is_spilled = is_spilled(w, name, parser.get());
     request.keep_alive = parser.get().keep_alive() && !w.stopping && !w.snapshot->leaving;
     return request;
 }
@@ -250,10 +252,11 @@
             result_code::request_quarantined, outcome::not_run, false, true, {}};
         co_return claimed_end{refused, std::nullopt};
     }
-    if (!request.repeatable) {
+    if (!request.repeatable && !request.is_spilled) {
         co_return co_await forward_claimed(w, request);
     }
-    co_return claimed_end{co_await forward(w, request), std::nullopt};
+    auto end = co_await forward(w, request);
+    co_return claimed_end{std::move(end), std::nullopt};
 }
 
 /// Gives the first answer to a caller that asked again.
--- a/source/traffic/slot_pool.cpp
+++ b/source/traffic/slot_pool.cpp
@@ -31,12 +31,12 @@
 
 /// The free target with the smallest used part of its share; the first one among equals moves
 /// to the back so that equals take turns.
-std::optional<slot> take(const std::string& service, service_entry& entry,
-                         const std::vector<target_id>& excluded)
+std::optional<slot> take_kind(const std::string& service, service_entry& entry,
+                              const std::vector<target_id>& excluded, bool spill)
 {
     target_entry* best = nullptr;
     for (auto& t : entry.targets) {
-        if (!has_room(t) || is_excluded(excluded, t.route.id)) {
+        if (t.route.is_spill != spill || !has_room(t) || is_excluded(excluded, t.route.id)) {
             continue;
         }
         const bool is_better =
@@ -48,15 +48,24 @@
         return std::nullopt;
     }
     ++best->in_flight;
-    slot taken{service, best->route.id, best->route.address, best->route.sheds_unrun};
+    const auto& route = best->route;
+    slot taken{service,           route.id,       route.address,
+               route.sheds_unrun, route.is_spill, route.bytes_per_second};
     std::rotate(best, best + 1, entry.targets.data() + entry.targets.size());
     return taken;
 }
 
+std::optional<slot> take(const std::string& service, service_entry& entry,
+                         const std::vector<target_id>& excluded, bool may_spill)
+{
+    auto taken = take_kind(service, entry, excluded, false);
+    return taken || !may_spill ? std::move(taken) : take_kind(service, entry, excluded, true);
+}
+
 void serve_waiters(const std::string& service, service_entry& entry)
 {
     for (auto waiter = entry.waiters.begin(); waiter != entry.waiters.end();) {
-        auto granted = take(service, entry, waiter->excluded);
+        auto granted = take(service, entry, waiter->excluded, waiter->may_spill);
         if (!granted) {
             ++waiter;
             continue;
@@ -126,14 +135,14 @@
 }
 
 std::optional<slot> slot_pool::try_take(std::string_view service,
-                                        const std::vector<target_id>& excluded)
+                                        const std::vector<target_id>& excluded, bool may_spill)
 {
     const std::scoped_lock lock(state_->mutex);
     const auto found = state_->services.find(service);
     if (found == state_->services.end() || !found->second.waiters.empty()) {
         return std::nullopt; // Those who wait come first.
     }
-    return take(found->first, found->second, excluded);
+    return take(found->first, found->second, excluded, may_spill);
 }
 
 bool slot_pool::enqueue(std::string_view service, slot_waiter& waiter)
--- a/source/traffic/slot_pool.h
+++ b/source/traffic/slot_pool.h
@@ -21,13 +21,16 @@
     target_id target;
     endpoint address;
     bool sheds_unrun = false;
+    bool is_spill = false;
+    double bytes_per_second = 0; ///< of a spilled request
 };
 
 /// A request that waits for a slot. Lives in its coroutine; the pool only links it.
 struct slot_waiter
     : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
     std::vector<target_id> excluded; ///< targets that have failed this request already
-    std::function<void()> wake;      ///< called once from any thread when `granted` is set
+    bool may_spill = false;
+    std::function<void()> wake; ///< called once from any thread when `granted` is set
     std::optional<slot> granted;
 };
 
@@ -43,8 +46,10 @@
     /// but no new one is given until enough have come back.
     void apply(const routing_snapshot& snapshot);
 
-    /// A slot of the least used target, or nothing if all are busy, unusable or excluded.
-    std::optional<slot> try_take(std::string_view service, const std::vector<target_id>& excluded);
+    /// A slot of the least used target, or nothing if all are busy, unusable or excluded. Other
+    /// failure domains are used only if the own one has none and `may_spill` is set.
+    std::optional<slot> try_take(std::string_view service, const std::vector<target_id>& excluded,
+                                 bool may_spill = false);
 
     /// Queues the waiter. False if the queue is full, which the caller answers at once.
     bool enqueue(std::string_view service, slot_waiter& waiter);
--- a/source/traffic/traffic_server.cpp
+++ b/source/traffic/traffic_server.cpp
@@ -43,6 +43,8 @@
     auto state = std::make_unique<shared_state>();
     state->slots = slot_pool::create();
     traffic_context context{settings.host,
+                            settings.domain,
+                            settings.secret,
                             settings.listen,
                             settings.max_connections,
                             state->slots.get(),
--- a/source/traffic/traffic_server.h
+++ b/source/traffic/traffic_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/authentication.h"
 #include "control/event.h"
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
@@ -14,6 +15,8 @@
 
 struct traffic_settings {
     host_id host;
+    failure_domain_id domain;
+    shared_secret secret;
     endpoint listen;
     std::uint32_t threads = 1;
     std::uint32_t max_connections = 1; ///< for each thread
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/authentication.h"
 #include "control/event.h"
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
@@ -22,6 +23,8 @@
 /// What all traffic threads share.
 struct traffic_context {
     host_id host;
+    failure_domain_id domain;
+    shared_secret secret; ///< proves spilled requests between hosts
     endpoint listen;
     std::uint32_t max_connections = 0; ///< for each thread
     slot_pool* slots = nullptr;
