--- a/unit_tests/claims/claim_world.cpp
+++ b/unit_tests/claims/claim_world.cpp
@@ -1,5 +1,7 @@
 #include "claims/claim_world.h"
 
+#include "support/action_queue.h"
+
 #include <algorithm>
 #include <array>
 
@@ -30,20 +32,6 @@
 constexpr milliseconds request_deadline{3'000};
 constexpr std::uint64_t start_wall_ms = 1'800'000'000'000;
 
-/// Work goes on at virtual times; equal times keep the order in which they were scheduled.
-struct timed_action {
-    milliseconds at{};
-    std::uint64_t order = 0;
-    std::function<void()> act;
-};
-
-struct later {
-    bool operator()(const timed_action& a, const timed_action& b) const
-    {
-        return std::tie(a.at, a.order) > std::tie(b.at, b.order);
-    }
-};
-
 struct model_host {
     claim_state state;
     claim_world view;
@@ -64,8 +52,7 @@
 
     const fault_plan& plan;
     milliseconds now{};
-    std::uint64_t orders = 0;
-    std::priority_queue<timed_action, std::vector<timed_action>, later> actions;
+    action_queue actions;
     std::array<model_host, host_count> hosts;
     std::map<std::string, stored_object> objects;
     object_version versions = 0;
@@ -80,7 +67,7 @@
 
 void at(model& m, milliseconds time, std::function<void()> act)
 {
-    m.actions.push({time, m.orders++, std::move(act)});
+    m.actions.add(time, std::move(act));
 }
 
 host_id name_of_host(std::size_t index)
@@ -521,12 +508,7 @@
     at(m, milliseconds(101), [&m] { send_request(m, 2, other_request, m.other_key, 1); });
     at(m, third_key_at, [&m] { send_request(m, 2, third_request, m.third_key, 1); });
     at(m, last_resend_at, [&m] { send_request(m, 2, last_request, m.key, resends); });
-    while (!m.actions.empty()) {
-        auto next = m.actions.top();
-        m.actions.pop();
-        m.now = next.at;
-        next.act();
-    }
+    m.actions.run(m.now);
     check_end(m);
     return std::move(m.report);
 }
--- a/unit_tests/claims/claim_world.h
+++ b/unit_tests/claims/claim_world.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
--- a/unit_tests/control/fleet_world.cpp
+++ b/unit_tests/control/fleet_world.cpp
@@ -1,8 +1,9 @@
 #include "control/fleet_world.h"
 
+#include "support/action_queue.h"
+
 #include <array>
 #include <functional>
-#include <queue>
 
 #include <boost/container_hash/hash.hpp>
 
@@ -57,19 +58,6 @@
 constexpr std::array<const char*, host_count> addresses{"127.0.1.1", "127.0.1.2", "127.0.1.3",
                                                         "127.0.2.1", "127.0.2.2"};
 
-struct timed_action {
-    milliseconds at{};
-    std::uint64_t order = 0;
-    std::function<void()> act;
-};
-
-struct later {
-    bool operator()(const timed_action& a, const timed_action& b) const
-    {
-        return std::tie(a.at, a.order) > std::tie(b.at, b.order);
-    }
-};
-
 struct waiting_watch {
     std::size_t host = 0;
     std::uint64_t life = 0;
@@ -88,8 +76,7 @@
 
     const fleet_fault_plan& plan;
     milliseconds now{};
-    std::uint64_t orders = 0;
-    std::priority_queue<timed_action, std::vector<timed_action>, later> actions;
+    action_queue actions;
     std::array<model_host, host_count> hosts;
     std::array<milliseconds, 2> domain_cut_until{};
     milliseconds platform_down_until{};
@@ -105,7 +92,7 @@
 
 void at(model& m, milliseconds time, std::function<void()> act)
 {
-    m.actions.push({time, m.orders++, std::move(act)});
+    m.actions.add(time, std::move(act));
 }
 
 std::size_t domain_of(std::size_t host)
@@ -422,12 +409,7 @@
     at(m, milliseconds(2'000), [&m] { apply_change(m, {}); });
     at(m, milliseconds(4'000), [&m] { apply_change(m, {{drain_kind::target, "t"}}); });
     at(m, last_change_at, [&m] { apply_change(m, {}); });
-    while (!m.actions.empty()) {
-        auto next = m.actions.top();
-        m.actions.pop();
-        m.now = next.at;
-        next.act();
-    }
+    m.actions.run(m.now);
     check_end(m);
     return std::move(m.report);
 }
--- /dev/null
+++ b/unit_tests/support/action_queue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+/// Virtual time for the small worlds of the fault matrices.
+namespace almondquay {
+
+/// Actions in the order of their times; equal times keep the order in which they were added.
+class action_queue {
+public:
+    void add(std::chrono::milliseconds at, std::function<void()> act)
+    {
+        actions_.push({at, orders_++, std::move(act)});
+    }
+
+    /// Runs everything, also what is added meanwhile; `now` is set before each action.
+    void run(std::chrono::milliseconds& now)
+    {
+        while (!actions_.empty()) {
+            const auto next = actions_.top();
+            actions_.pop();
+            now = next.at;
+            next.act();
+        }
+    }
+
+    std::size_t size() const { return actions_.size(); }
+
+private:
+    struct timed_action {
+        std::chrono::milliseconds at{};
+        std::uint64_t order = 0;
+        std::function<void()> act;
+    };
+
+    struct later {
+        bool operator()(const timed_action& a, const timed_action& b) const
+        {
+            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+        }
+    };
+
+    std::uint64_t orders_ = 0;
+    std::priority_queue<timed_action, std::vector<timed_action>, later> actions_;
+};
+
+} // namespace almondquay
