--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -30,6 +30,7 @@
                                   "This host leaves: it vanishes from look-ups and still serves.",
                                   {},
                                   {{"grace_ms", std::to_string(grace.count())}}});
+    ++state.membership.own_beat; // Peers that have the latest beat already must take this as news.
     announce(state, out);
 }
 
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -14,6 +14,7 @@
     shift
     "$@" >"$work/$name.out" 2>"$work/$name.log" &
     pids+=($!)
+    disown $! # The shell need not tell of processes that a test ends by force.
     eval "pid_${name//-/_}=$!"
 }
 
--- a/unit_tests/control/control_test.cpp
+++ b/unit_tests/control/control_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(when_most_targets_look_dead_none_is_ejected);
     CPPUNIT_TEST(a_request_at_two_crashes_is_quarantined_and_released);
     CPPUNIT_TEST(innocents_beside_it_are_not);
+    CPPUNIT_TEST(a_stop_is_news_to_peers_at_once);
     CPPUNIT_TEST(a_stop_waits_until_callers_have_forgotten);
     CPPUNIT_TEST_SUITE_END();
 
@@ -235,6 +236,23 @@
         CPPUNIT_ASSERT(state.quarantined.contains(7));
     }
 
+    /// Found by the process test configuration: the announcement carried a beat that peers had
+    /// already, so that they took no notice until a later one.
+    void a_stop_is_news_to_peers_at_once()
+    {
+        auto state = serving_state();
+        reduce(state, at(milliseconds(250), tick_event{}));
+        const auto beat = state.membership.own_beat;
+        for (const auto& e : reduce(state, at(milliseconds(300), stop_requested_event{}))) {
+            if (const auto* gossip = std::get_if<send_gossip_effect>(&e)) {
+                CPPUNIT_ASSERT(gossip->message.beats.front().leaving);
+                CPPUNIT_ASSERT(gossip->message.beats.front().beat > beat);
+                return;
+            }
+        }
+        CPPUNIT_FAIL("a stopping host tells its peers");
+    }
+
     void a_stop_waits_until_callers_have_forgotten()
     {
         auto state = serving_state();
