Notice questions to the store that have gone silent

Ruled out: a lost relist (the page arrived and was applied where it was asked).

Change: questions wait for a time that makes the live hosts together ask every 500 ms, hosts tell each other the revision of each list, and a list that is behind a peer's for 150 ms is asked for anew. News from a relist go to all hosts of a small fleet at once.

--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -44,16 +44,27 @@
     return std::chrono::milliseconds(jitter(state.random));
 }
 
+std::chrono::milliseconds follow_wait(control_state& state)
+{
+    const auto hosts = std::max<std::size_t>(1, live_hosts(state).size());
+    const auto shared = follow_interval * hosts;
+    std::uniform_int_distribution<std::int64_t> jitter(shared.count() * 3 / 4, shared.count());
+    return std::clamp(std::chrono::milliseconds(jitter(state.random)), shortest_follow_wait,
+                      longest_follow_wait);
+}
+
 void ask(control_state& state, inventory_kind kind, effects& out)
 {
     auto& list = list_of(state.inventory, kind);
     list.call_running = true;
+    list.behind_since = {};
     inventory_question question;
     question.kind = kind;
     question.follow = list.is_following;
     question.after = list.page_after;
     question.since = list.at;
-    question.wait = list.is_following ? follow_wait : std::chrono::milliseconds{0};
+    question.wait = list.is_following ? follow_wait(state) : std::chrono::milliseconds{0};
+    question.number = ++list.call;
     out.emplace_back(ask_inventory_effect{std::move(question)});
 }
 
@@ -309,11 +320,16 @@
         drop_unseen(state, e, question.kind, list.seen, out);
         list.seen.clear();
         list.page_after.clear();
+        const bool was_complete = list.is_complete;
         list.is_complete = true;
         list.is_following = true;
-        if (!question.after.empty()) {
-            return;
+        if (question.after.empty()) {
+            list.at = page.at;
+        }
+        if (was_complete) {
+            announce(state, out); // Peers may have missed the same changes without a sign.
         }
+        return;
     }
     list.at = page.at;
 }
@@ -391,7 +407,9 @@
     }
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         const auto& list = state.inventory.lists.at(i);
-        if (!list.call_running && e.now >= list.next_call) {
+        const bool is_late = list.is_following && list.behind_since != monotonic_time{} &&
+                             e.now - list.behind_since >= behind_patience;
+        if ((!list.call_running || is_late) && e.now >= list.next_call) {
             ask(state, static_cast<inventory_kind>(i), out);
         }
     }
@@ -405,11 +423,8 @@
                          effects& out)
 {
     auto& list = list_of(state.inventory, read.question.kind);
-    const bool is_current = read.question.follow == list.is_following &&
-                            read.question.after == list.page_after &&
-                            (!list.is_following || read.question.since == list.at);
-    if (!is_current) {
-        return; // A peer's copy has overtaken it, or a second call was made in its place.
+    if (read.question.number != list.call || !list.call_running) {
+        return; // A peer's copy has overtaken it, or a second question was asked in its place.
     }
     list.call_running = false;
     if (succeeded(read.page)) {
@@ -481,27 +496,38 @@
     start_serving_if_ready(state, e, out);
 }
 
-void note_peer_revision(control_state& state, const event& e, store_revision revision,
-                        const endpoint& peer, effects& out)
+void note_peer_revisions(control_state& state, const event& e, const inventory_revisions& theirs,
+                         const endpoint& peer, effects& out)
 {
+    if (!state.self.has_inventory) {
+        return;
+    }
     auto& inventory = state.inventory;
-    const bool is_behind = state.self.has_inventory && revision > latest_revision(inventory) &&
-                           !state.fleet.platform_reachable && e.now >= inventory.next_peer_question;
-    if (is_behind) {
+    bool is_behind = false;
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        auto& list = inventory.lists.at(i);
+        if (theirs.at(i) <= list.at || !list.is_complete) {
+            continue;
+        }
+        is_behind = true;
+        if (list.behind_since == monotonic_time{}) {
+            list.behind_since = e.now;
+        }
+    }
+    if (is_behind && !state.fleet.platform_reachable && e.now >= inventory.next_peer_question) {
         inventory.next_peer_question = e.now + peer_question_pause;
         out.emplace_back(fetch_inventory_effect{peer});
     }
 }
 
-store_revision latest_revision(const inventory_state& inventory)
+inventory_revisions revisions_of(const inventory_state& inventory)
 {
-    store_revision latest;
-    for (const auto& list : inventory.lists) {
-        if (list.is_complete) {
-            latest = std::max(latest, list.at);
-        }
+    inventory_revisions all;
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto& list = inventory.lists.at(i);
+        all.at(i) = list.is_complete ? list.at : store_revision{};
     }
-    return latest;
+    return all;
 }
 
 void renew_places(control_state& state)
@@ -548,10 +574,7 @@
 inventory_copy copy_of(const control_state& state, monotonic_time now)
 {
     inventory_copy copy;
-    for (std::size_t i = 0; i < inventory_kinds; ++i) {
-        const auto& list = state.inventory.lists.at(i);
-        copy.at.at(i) = list.is_complete ? list.at : store_revision{};
-    }
+    copy.at = revisions_of(state.inventory);
     for (const auto& [id, listed] : state.inventory.targets) {
         auto entry = listed.entry;
         entry.cold_left =
--- a/source/control/inventory_sync.h
+++ b/source/control/inventory_sync.h
@@ -11,8 +11,14 @@
 /// after an outage get `return_time` to register again.
 namespace almondquay {
 
-/// How long the store may hold back the answer to a question for changes.
-constexpr std::chrono::milliseconds follow_wait{25'000};
+/// How long the store may hold back the answer to a question for changes. A question that has gone
+/// silent is noticed only by asking anew, so the live hosts together ask every `follow_interval`
+/// and tell each other of what they missed.
+constexpr std::chrono::milliseconds shortest_follow_wait{2'000};
+constexpr std::chrono::milliseconds longest_follow_wait{25'000};
+constexpr std::chrono::milliseconds follow_interval{500};
+/// A list that stays behind that of a peer for this long is asked for anew.
+constexpr std::chrono::milliseconds behind_patience{150};
 /// Targets whose entries lapsed during an outage are back within this time of its end.
 constexpr std::chrono::milliseconds return_time{2'000};
 /// Hosts that may use a cold target, so that their parts of what it stands are whole requests.
@@ -30,12 +36,13 @@
 void take_peer_inventory(control_state& state, const event& e, const peer_inventory_event& answer,
                          effects& out);
 
-/// A peer has a newer copy: asks for it if the store cannot be asked.
-void note_peer_revision(control_state& state, const event& e, store_revision revision,
-                        const endpoint& peer, effects& out);
+/// Compares a peer's revisions with the own ones. Asks the store anew where the own list is behind,
+/// or the peer if the store does not answer.
+void note_peer_revisions(control_state& state, const event& e, const inventory_revisions& theirs,
+                         const endpoint& peer, effects& out);
 
-/// The newest revision of any list.
-store_revision latest_revision(const inventory_state& inventory);
+/// What this host tells its peers of its lists.
+inventory_revisions revisions_of(const inventory_state& inventory);
 
 /// Puts the inventory's places and targets into the fleet in force, which does not list them.
 void renew_places(control_state& state);
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -14,6 +14,8 @@
 static_assert(1 + max_near_beats + max_far_beats <= max_beats_per_message);
 /// Regions with more hosts than this are near by failure domains only.
 constexpr std::size_t max_hosts_of_near_region = 6;
+/// News go to all hosts at once in fleets up to this size, in larger ones to the near hosts.
+constexpr std::size_t max_hosts_told_at_once = 24;
 constexpr std::size_t max_messages_per_tick = 3;
 /// More than the largest message, which could otherwise never be paid for.
 constexpr double max_gossip_credit = 2.0 * max_datagram_bytes;
@@ -22,7 +24,7 @@
 constexpr std::uint64_t far_turn = 3;
 /// What a message takes besides its beats: signature, header, time, generation, fingerprint and
 /// the headers of IP and UDP.
-constexpr std::size_t bytes_per_message = 130;
+constexpr std::size_t bytes_per_message = 150;
 /// What a beat takes besides its host's name.
 constexpr std::size_t bytes_per_beat = 19;
 
@@ -72,7 +74,7 @@
         message.in_force = state.fleet.envelope->number;
         message.fingerprint = state.fleet.fingerprint;
     }
-    message.inventory = latest_revision(state.inventory);
+    message.inventory = revisions_of(state.inventory);
     const bool leaving = state.stage != life_stage::serving; // Takes no callers, or not yet.
     message.beats.push_back(
         {state.self.host, state.self.life, state.membership.own_beat, leaving, false});
@@ -289,15 +291,16 @@
     if (message.in_force > own) {
         out.emplace_back(fetch_fleet_effect{*peer});
     }
-    note_peer_revision(state, e, message.inventory, *peer, out);
+    note_peer_revisions(state, e, message.inventory, *peer, out);
 }
 
 void announce(control_state& state, effects& out)
 {
     const auto message = make_message(state);
-    for (const auto* h : near_hosts(state)) {
-        if (h->id != state.self.host) {
-            out.emplace_back(send_gossip_effect{h->peers, message});
+    const bool to_all = state.fleet.text.hosts.size() <= max_hosts_told_at_once;
+    for (const auto& [id, h] : state.fleet.text.hosts) {
+        if (id != state.self.host && (to_all || is_near(state, id))) {
+            out.emplace_back(send_gossip_effect{h.peers, message});
         }
     }
 }
--- a/source/control/membership.h
+++ b/source/control/membership.h
@@ -37,7 +37,7 @@
 /// Takes over newer beats and notices a newer configuration.
 void take_gossip(control_state& state, const event& e, const gossip_message& message, effects& out);
 
-/// Tells all hosts of the own failure domain what is in force, at once.
+/// Tells the near hosts, or all hosts of a small fleet, what is in force and known, at once.
 void announce(control_state& state, effects& out);
 
 /// Live hosts that are not leaving, this one included while it serves.
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -80,8 +80,10 @@
     bool is_complete = false; ///< read whole once, here or by a peer
     bool is_following = false;
     bool call_running = false;
-    unsigned failures = 0; ///< in a row
+    std::uint64_t call = 0; ///< number of the latest question
+    unsigned failures = 0;  ///< in a row
     monotonic_time next_call{};
+    monotonic_time behind_since{}; ///< since when peers are known to be ahead
     std::string page_after;     ///< of a list that is being read: where the next page begins
     std::set<std::string> seen; ///< names on the pages so far
 };
--- a/source/peer/gossip_message.cpp
+++ b/source/peer/gossip_message.cpp
@@ -18,9 +18,13 @@
     for (const auto& b : message.beats) {
         beats.push_back(json::array({b.id.value, b.life.value, b.beat, b.leaving, b.dead}));
     }
+    json inventory = json::array();
+    for (const auto& revision : message.inventory) {
+        inventory.push_back(revision.value);
+    }
     const json whole = json::array({message.from.value, message.time.wall_ms, message.time.counter,
                                     message.in_force.value, message.fingerprint, std::move(beats),
-                                    message.inventory.value});
+                                    std::move(inventory)});
     const auto bytes = json::to_cbor(whole);
     std::string body(bytes.begin(), bytes.end());
     return sign(secret, body) + body;
@@ -52,7 +56,9 @@
             beat.dead = value.at(4).get<bool>();
             message.beats.push_back(std::move(beat));
         }
-        message.inventory.value = whole.at(6).get<std::uint64_t>();
+        for (std::size_t i = 0; i < inventory_kinds; ++i) {
+            message.inventory.at(i).value = whole.at(6).at(i).get<std::uint64_t>();
+        }
         return message;
     } catch (const json::exception& problem) {
         return error{result_code::peer_message_malformed, problem.what()};
--- a/source/peer/gossip_message.h
+++ b/source/peer/gossip_message.h
@@ -4,6 +4,7 @@
 #include "common/hybrid_clock.h"
 #include "common/result.h"
 #include "common/strong_type.h"
+#include "store/inventory.h"
 
 #include <cstdint>
 #include <string>
@@ -29,7 +30,7 @@
     hybrid_time time;
     generation in_force;           ///< 0 while the sender has none
     std::uint64_t fingerprint = 0; ///< of the envelope in force
-    store_revision inventory;      ///< the newest revision of the store that the sender knows
+    inventory_revisions inventory; ///< up to which the sender knows the store's lists
     std::vector<member_beat> beats;
 
     bool operator==(const gossip_message&) const = default;
--- a/source/peer/inventory_copy.h
+++ b/source/peer/inventory_copy.h
@@ -3,7 +3,6 @@
 #include "common/result.h"
 #include "store/inventory.h"
 
-#include <array>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,8 +11,7 @@
 namespace almondquay {
 
 struct inventory_copy {
-    /// One for each kind; the revision up to which its entries are complete, or 0.
-    std::array<store_revision, inventory_kinds> at;
+    inventory_revisions at;
     std::vector<registered_target> targets; ///< with what is left of their cold time
     std::vector<host> hosts;
     std::vector<failure_domain_id> evacuated;
--- a/source/store/inventory.h
+++ b/source/store/inventory.h
@@ -4,7 +4,9 @@
 #include "config/fleet.h"
 #include "config/fleet_envelope.h"
 
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,6 +20,9 @@
 
 constexpr std::size_t inventory_kinds = 4;
 
+/// For each kind, the revision up to which its list is known; 0 while it is not.
+using inventory_revisions = std::array<store_revision, inventory_kinds>;
+
 /// "configuration", "targets", "evacuations" or "hosts".
 std::string_view name_of(inventory_kind kind);
 
@@ -69,6 +74,7 @@
     std::string after;    ///< of a list: the name after which the page begins
     store_revision since; ///< of changes
     std::chrono::milliseconds wait{0};
+    std::uint64_t number = 0; ///< tells a host's questions apart
 };
 
 } // namespace almondquay
