Estimate warm work by a quantile and ask the store less often

Cause: the running mean of what requests take contained queues and cold work, so under load it grew until every request left its object's first target.

Change: the 25 % quantile stands for warm work, a request leaves its first target only if the predicted sum is less elsewhere; questions for hosts wait 25 s, those of the live hosts together come every 750 ms, pauses for swarms are 800 ms.

--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::minutes long_dead{2};
 /// Targets and hosts come and go many at a time. A pause before the next question gathers their
 /// changes in one answer; it is a small part of the seconds that a leaving target keeps serving.
-constexpr std::chrono::milliseconds swarm_pause{400};
+constexpr std::chrono::milliseconds swarm_pause{800};
 constexpr std::size_t max_unreadable_names = 1'000;
 
 inventory_list& list_of(inventory_state& inventory, inventory_kind kind)
@@ -44,8 +44,11 @@
     return std::chrono::milliseconds(jitter(state.random));
 }
 
-std::chrono::milliseconds follow_wait(control_state& state)
+std::chrono::milliseconds follow_wait(control_state& state, inventory_kind kind)
 {
+    if (kind == inventory_kind::hosts) {
+        return longest_follow_wait; // Gossip tells of hosts sooner than their list.
+    }
     const auto hosts = std::max<std::size_t>(1, live_hosts(state).size());
     const auto shared = follow_interval * hosts;
     std::uniform_int_distribution<std::int64_t> jitter(shared.count() * 3 / 4, shared.count());
@@ -63,7 +66,7 @@
     question.follow = list.is_following;
     question.after = list.page_after;
     question.since = list.at;
-    question.wait = list.is_following ? follow_wait(state) : std::chrono::milliseconds{0};
+    question.wait = list.is_following ? follow_wait(state, kind) : std::chrono::milliseconds{0};
     question.number = ++list.call;
     out.emplace_back(ask_inventory_effect{std::move(question)});
 }
--- a/source/control/inventory_sync.h
+++ b/source/control/inventory_sync.h
@@ -16,7 +16,7 @@
 /// and tell each other of what they missed.
 constexpr std::chrono::milliseconds shortest_follow_wait{2'000};
 constexpr std::chrono::milliseconds longest_follow_wait{25'000};
-constexpr std::chrono::milliseconds follow_interval{500};
+constexpr std::chrono::milliseconds follow_interval{750};
 /// A list that stays behind that of a peer for this long is asked for anew.
 constexpr std::chrono::milliseconds behind_patience{150};
 /// Targets whose entries lapsed during an outage are back within this time of its end.
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -4,6 +4,7 @@
 #include "traffic/request_log.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -91,7 +92,7 @@
         wish.objective = rule->objective - ms(now - request.started);
         const auto known = w.routes.find(rule->id);
         if (known != w.routes.end()) {
-            wish.work = known->second.work;
+            wish.work = std::chrono::milliseconds(std::llround(known->second.work_ms));
             wish.stay_near = known->second.answer_bytes > large_answer_bytes;
         }
     }
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -129,12 +129,9 @@
                                                                   : a.score > b.score;
                               });
     std::size_t best = 0;
-    const auto patience = wish.objective - wish.work;
-    if (all[0].wait > patience) {
-        for (std::size_t i = 1; i < considered; ++i) {
-            if (cost_at(all[i], i, wish) < cost_at(all[best], best, wish)) {
-                best = i;
-            }
+    for (std::size_t i = 1; i < considered; ++i) {
+        if (cost_at(all[i], i, wish) < cost_at(all[best], best, wish)) {
+            best = i;
         }
     }
     chosen.target = all[best].target;
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -3,8 +3,6 @@
 #include "traffic/outcome.h"
 #include "traffic/session.h"
 
-#include <cmath>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +15,11 @@
 constexpr std::chrono::milliseconds accept_pause{50};
 /// Weight of the newest value in running means.
 constexpr double mean_step = 0.1;
+/// Part of itself by which the estimate of a quantile moves with each value.
+constexpr double quantile_step = 0.2;
+/// The quantile of the times that requests take which stands for warm work without a wait: queues
+/// and cold work only make it longer.
+constexpr double work_quantile = 0.25;
 
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -116,9 +119,10 @@
 
 void note_work(route_estimate& estimate, std::chrono::steady_clock::duration took)
 {
-    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(took);
-    const auto step = static_cast<double>((now - estimate.work).count()) * mean_step;
-    estimate.work += std::chrono::milliseconds(std::llround(step));
+    const std::chrono::duration<double, std::milli> now = took;
+    const double before = estimate.work_ms;
+    const double step = before * quantile_step;
+    estimate.work_ms += now.count() > before ? step * work_quantile : -step * (1 - work_quantile);
 }
 
 void note_answer_size(route_estimate& estimate, double bytes)
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -51,7 +51,7 @@
 
 /// What requests of a route were seen to need.
 struct route_estimate {
-    std::chrono::milliseconds work{100}; ///< a running mean of what targets take
+    double work_ms = 100; ///< what warm work takes without a wait
     double answer_bytes = 0;             ///< a running mean
 };
 
@@ -93,7 +93,7 @@
 /// Wakes the request that waits for this verdict.
 void take_verdict(worker& w, const claim_verdict_effect& verdict);
 
-/// Takes what one request took into the running means.
+/// Takes what one request took or answered into the estimates.
 void note_work(route_estimate& estimate, std::chrono::steady_clock::duration took);
 void note_answer_size(route_estimate& estimate, double bytes);
 
