Hand objects over from targets whose queue stays long

Cause: a request left its first target alone, by what its host knew at that moment; eleven other hosts decided otherwise, so under load each object wandered and its work was cold. Ruled out: refusals by the targets as the reason to move (4 % of attempts).

Change: the mean of the queue lengths that a target reports decides which part of its objects it hands over; a hash decides which ones, the same on all hosts.

--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -13,11 +13,14 @@
 using clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
+constexpr double hashes = 18446744073709551616.0; // 2^64
+
 struct candidate {
     const target_route* target = nullptr;
     int distance = 0;
     double score = 0;
     milliseconds wait{0};
+    double handed_over = 0;
 };
 
 bool is_home(const placement_wish& wish, const target_route& t)
@@ -46,6 +49,13 @@
     return static_cast<double>(sent) + 1 <= t.cold_per_second;
 }
 
+double mean_queue(const target_load& load, clock::time_point now)
+{
+    const std::chrono::duration<double> age = now - load.reported;
+    const std::chrono::duration<double> half_life = queue_half_life;
+    return load.waiting_mean * std::exp2(-age / half_life);
+}
+
 milliseconds predicted_wait(const target_route& t, const target_load* load,
                             const placement_wish& wish, clock::time_point now)
 {
@@ -53,7 +63,9 @@
         return milliseconds{0};
     }
     const auto slots = std::max<double>(1, t.slots);
-    const auto ahead = expected_in_flight(*load, now) + 1 - slots;
+    const auto known = std::max(expected_in_flight(*load, now),
+                                slots + mean_queue(*load, now)); // Of a busy target.
+    const auto ahead = (mean_queue(*load, now) > 1 ? known : expected_in_flight(*load, now)) + 1 - slots;
     const auto wait = std::max(0.0, ahead) * static_cast<double>(wish.work.count()) / slots;
     return milliseconds(std::llround(wait));
 }
@@ -64,11 +76,30 @@
     return found == loads.end() ? nullptr : &found->second;
 }
 
-/// What waiting and perhaps cold work take at the target at `position` of the order.
-milliseconds cost_at(const candidate& c, std::size_t position, const placement_wish& wish)
+/// Where in its range of 0 to 1 an object comes when a target hands objects over.
+double turn_of(std::uint64_t object, const target_route& t)
+{
+    constexpr std::uint64_t seed = 0x9e3779b97f4a7c15U; // Unlike that of the order.
+    const auto hash =
+        XXH3_64bits_withSeed(t.id.value.data(), t.id.value.size(), object ^ seed);
+    return static_cast<double>(hash) / hashes;
+}
+
+/// The first target in the object's order that has not handed it over; if all have, the one that
+/// hands over least.
+std::size_t choose_for_object(const std::vector<candidate>& all, std::size_t considered,
+                              std::uint64_t object)
 {
-    const bool is_cold = wish.object && position != 0;
-    return c.wait + wish.work * (is_cold ? cold_work_factor : 1);
+    std::size_t least = 0;
+    for (std::size_t i = 0; i < considered; ++i) {
+        if (turn_of(object, *all[i].target) >= all[i].handed_over) {
+            return i;
+        }
+        if (all[i].handed_over < all[least].handed_over) {
+            least = i;
+        }
+    }
+    return least;
 }
 
 std::vector<candidate> find_candidates(const std::vector<target_route>& targets,
@@ -90,6 +121,7 @@
         c.target = &t;
         c.distance = wish.stay_near && t.in_region != wish.near_region ? 1 : 0;
         c.wait = predicted_wait(t, load, wish, now);
+        c.handed_over = load == nullptr ? 0 : handed_over_share(*load, now);
         c.score =
             wish.object ? rendezvous_score(*wish.object, t) : -static_cast<double>(c.wait.count());
         (load != nullptr && now < load->avoid_until ? avoided : all).push_back(c);
@@ -102,7 +134,6 @@
 double rendezvous_score(std::uint64_t object, const target_route& target)
 {
     const auto hash = XXH3_64bits_withSeed(target.id.value.data(), target.id.value.size(), object);
-    constexpr double hashes = 18446744073709551616.0; // 2^64
     const auto part = (static_cast<double>(hash) + 1.0) / (hashes + 2.0);
     return -static_cast<double>(std::max<std::uint32_t>(1, target.slots)) / std::log(part);
 }
@@ -114,6 +145,12 @@
     return load.in_flight + load.others * std::exp2(-age / half_life);
 }
 
+double handed_over_share(const target_load& load, clock::time_point now)
+{
+    const auto excess = (mean_queue(load, now) - tolerated_queue) / queue_range;
+    return std::clamp(excess, 0.0, max_handed_over);
+}
+
 placement place(const std::vector<target_route>& targets, const load_table& loads,
                 const placement_wish& wish, clock::time_point now)
 {
@@ -128,12 +165,7 @@
                                   return a.distance != b.distance ? a.distance < b.distance
                                                                   : a.score > b.score;
                               });
-    std::size_t best = 0;
-    for (std::size_t i = 1; i < considered; ++i) {
-        if (cost_at(all[i], i, wish) < cost_at(all[best], best, wish)) {
-            best = i;
-        }
-    }
+    const auto best = wish.object ? choose_for_object(all, considered, *wish.object) : 0;
     chosen.target = all[best].target;
     chosen.wait = all[best].wait;
     return chosen;
@@ -154,6 +186,8 @@
     }
     const auto total = running + waiting;
     load.others = total > load.in_flight ? total - load.in_flight : 0;
+    load.waiting_mean = mean_queue(load, now);
+    load.waiting_mean += (waiting - load.waiting_mean) * report_step;
     load.reported = now;
 }
 
--- a/source/traffic/placement.h
+++ b/source/traffic/placement.h
@@ -13,14 +13,16 @@
 /// Which of the targets that all hosts share gets a request.
 ///
 /// Answers the load of work that is much faster at a target that handled the same object lately:
-/// all hosts put an object's targets in the same order without asking each other, and leave the
-/// first one only where its queue costs more than cold work at the next.
+/// all hosts put an object's targets in the same order without asking each other. A target whose
+/// queue stays long hands some of its objects over to their next targets, always the same ones, so
+/// that they become warm there; single requests do not wander.
 namespace almondquay {
 
 /// What this host knows of a target's load.
 struct target_load {
     std::uint32_t in_flight = 0; ///< requests of this host
     std::uint32_t others = 0;    ///< of other hosts, by the target's last report
+    double waiting_mean = 0; ///< requests in its queue, a running mean of reports
     std::chrono::steady_clock::time_point reported{};
     std::chrono::steady_clock::time_point avoid_until{}; ///< after failures in a row
     unsigned failures = 0;
@@ -52,6 +54,15 @@
 constexpr int cold_work_factor = 3;
 /// Targets of an object's order that are considered.
 constexpr std::size_t considered_targets = 3;
+/// A target whose queue is shorter than this on average keeps all its objects.
+constexpr double tolerated_queue = 1.0;
+/// A queue longer than that by so much hands over as many objects as it may.
+constexpr double queue_range = 6.0;
+constexpr double max_handed_over = 0.7;
+/// Weight of the newest report in the mean length of a queue.
+constexpr double report_step = 0.2;
+/// The mean length of a queue counts half after this time without a report.
+constexpr std::chrono::milliseconds queue_half_life{2'000};
 /// A report of a target's load counts half after this time.
 constexpr std::chrono::milliseconds report_half_life{300};
 
@@ -62,6 +73,9 @@
 /// The place of a target in an object's order; higher comes first. Weighted rendezvous hashing.
 double rendezvous_score(std::uint64_t object, const target_route& target);
 
+/// The part of its objects that a target hands over to their next targets.
+double handed_over_share(const target_load& load, std::chrono::steady_clock::time_point now);
+
 /// The requests that wait or run at a target, as far as this host can tell.
 double expected_in_flight(const target_load& load, std::chrono::steady_clock::time_point now);
 
