Refuse early what its target's queue would make late

Change: the wait is predicted from what the target takes at present, the time of an answer divided by the rounds of its queue, and a growing part of the requests whose prediction exceeds their objective is refused at once with Retry-After.

--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -116,17 +116,33 @@
         refused.retry_after = shortest_retry_after;
         return std::nullopt;
     }
-    if (chosen.wait + wish.work > wish.time_left) {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const bool is_shed = excluded.empty() &&
+                         uniform(w.random) < refused_part(chosen.wait + wish.work, wish.objective);
+    if (is_shed || chosen.wait + wish.work > wish.time_left) {
         refused.code = result_code::overloaded;
         refused.retry_after = std::max(chosen.wait, shortest_retry_after);
         return std::nullopt;
     }
     const auto& t = *chosen.target;
+    log_placement(w, request, chosen);
     note_sent(w.loads[t.id], t, now);
     slot taken{request.service, t.id, t.address, t.sheds_unrun, false, 0, t.checks_identity};
     return taken;
 }
 
+std::uint32_t slots_of(const worker& w, const slot& used)
+{
+    const auto found = w.snapshot->services.find(used.service);
+    if (found != w.snapshot->services.end()) {
+        const auto t = std::ranges::find(found->second.targets, used.target, &target_route::id);
+        if (t != found->second.targets.end()) {
+            return t->slots;
+        }
+    }
+    return 1;
+}
+
 void note_result(worker& w, const caller_request& request, const slot& used, const forward_end& end,
                  clock::time_point sent)
 {
@@ -134,7 +150,8 @@
     const auto now = clock::now();
     if (end.what == outcome::ran) {
         load.failures = 0;
-        if (request.rule != nullptr && end.code == result_code::ok) {
+        note_answer_time(load, slots_of(w, used), now - sent);
+        if (request.rule != nullptr && end.code == result_code::ok && load.waiting == 0) {
             note_work(w.routes[request.rule->id], now - sent);
         }
         return;
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -15,6 +15,9 @@
 
 constexpr double hashes = 18446744073709551616.0; // 2^64
 
+/// Weight of the newest answer in the mean time that a target takes.
+constexpr double service_step = 0.2;
+
 struct candidate {
     const target_route* target = nullptr;
     int distance = 0;
@@ -66,7 +69,9 @@
     const auto known = std::max(expected_in_flight(*load, now),
                                 slots + mean_queue(*load, now)); // Of a busy target.
     const auto ahead = (mean_queue(*load, now) > 1 ? known : expected_in_flight(*load, now)) + 1 - slots;
-    const auto wait = std::max(0.0, ahead) * static_cast<double>(wish.work.count()) / slots;
+    const auto work =
+        load->service_ms > 0 ? load->service_ms : static_cast<double>(wish.work.count());
+    const auto wait = std::max(0.0, ahead) * work / slots;
     return milliseconds(std::llround(wait));
 }
 
@@ -145,6 +150,15 @@
     return load.in_flight + load.others * std::exp2(-age / half_life);
 }
 
+double refused_part(milliseconds predicted, milliseconds objective)
+{
+    if (objective.count() <= 0) {
+        return 0;
+    }
+    const auto excess = static_cast<double>((predicted - objective).count());
+    return std::clamp(excess / static_cast<double>(objective.count()), 0.0, max_refused_part);
+}
+
 double handed_over_share(const target_load& load, clock::time_point now)
 {
     const auto excess = (mean_queue(load, now) - tolerated_queue) / queue_range;
@@ -168,6 +182,7 @@
     const auto best = wish.object ? choose_for_object(all, considered, *wish.object) : 0;
     chosen.target = all[best].target;
     chosen.wait = all[best].wait;
+    chosen.position = best;
     return chosen;
 }
 
@@ -186,11 +201,22 @@
     }
     const auto total = running + waiting;
     load.others = total > load.in_flight ? total - load.in_flight : 0;
+    load.waiting = waiting;
     load.waiting_mean = mean_queue(load, now);
     load.waiting_mean += (waiting - load.waiting_mean) * report_step;
     load.reported = now;
 }
 
+void note_answer_time(target_load& load, const std::uint32_t slots, clock::duration took)
+{
+    // A request that found a queue waited for it to pass through the slots.
+    const std::chrono::duration<double, std::milli> whole = took;
+    const auto rounds = 1 + static_cast<double>(load.waiting) / std::max<std::uint32_t>(1, slots);
+    const auto service = whole.count() / rounds;
+    load.service_ms =
+        load.service_ms > 0 ? load.service_ms + (service - load.service_ms) * service_step : service;
+}
+
 void note_sent(target_load& load, const target_route& target, clock::time_point now)
 {
     ++load.in_flight;
--- a/source/traffic/placement.h
+++ b/source/traffic/placement.h
@@ -22,6 +22,8 @@
 struct target_load {
     std::uint32_t in_flight = 0; ///< requests of this host
     std::uint32_t others = 0;    ///< of other hosts, by the target's last report
+    double service_ms = 0;     ///< what it takes for a request without its wait; 0: not known
+    std::uint32_t waiting = 0; ///< in its queue, by its last report
     double waiting_mean = 0; ///< requests in its queue, a running mean of reports
     std::chrono::steady_clock::time_point reported{};
     std::chrono::steady_clock::time_point avoid_until{}; ///< after failures in a row
@@ -47,6 +49,7 @@
 struct placement {
     const target_route* target = nullptr; ///< nullptr: none may be used
     std::chrono::milliseconds wait{0};    ///< predicted, in its queue
+    std::size_t position = 0; ///< in the object's order
     bool any_usable = false;              ///< some target would be usable if it had room
 };
 
@@ -59,8 +62,10 @@
 /// A queue longer than that by so much hands over as many objects as it may.
 constexpr double queue_range = 6.0;
 constexpr double max_handed_over = 0.7;
+/// Some requests are always let through, since only their answers tell that a queue has gone.
+constexpr double max_refused_part = 0.9;
 /// Weight of the newest report in the mean length of a queue.
-constexpr double report_step = 0.2;
+constexpr double report_step = 0.4;
 /// The mean length of a queue counts half after this time without a report.
 constexpr std::chrono::milliseconds queue_half_life{2'000};
 /// A report of a target's load counts half after this time.
@@ -73,6 +78,14 @@
 /// The place of a target in an object's order; higher comes first. Weighted rendezvous hashing.
 double rendezvous_score(std::uint64_t object, const target_route& target);
 
+/// The part of requests with these prospects that is refused at once.
+///
+/// Answers the load that stays above what the targets can do in time: queues as long as the
+/// objective make every answer late and, because objects then wander, all work cold. The refused
+/// part grows with how far the predicted time exceeds what the request has left of its objective,
+/// so that all hosts together find the level at which the rest is answered in time.
+double refused_part(std::chrono::milliseconds predicted, std::chrono::milliseconds objective);
+
 /// The part of its objects that a target hands over to their next targets.
 double handed_over_share(const target_load& load, std::chrono::steady_clock::time_point now);
 
@@ -83,6 +96,10 @@
 void note_report(target_load& load, std::string_view report,
                  std::chrono::steady_clock::time_point now);
 
+/// Takes the time of an answer in; its report must have been noted before.
+void note_answer_time(target_load& load, const std::uint32_t slots,
+                      std::chrono::steady_clock::duration took);
+
 /// Counts a request as sent.
 void note_sent(target_load& load, const target_route& target,
                std::chrono::steady_clock::time_point now);
--- a/source/traffic/request_log.cpp
+++ b/source/traffic/request_log.cpp
@@ -9,8 +9,6 @@
 using clock = std::chrono::steady_clock;
 
 constexpr unsigned lines_per_second = 60;
-/// One of so many requests that succeeded is logged.
-constexpr std::uint64_t sampled_success = 20;
 
 std::string milliseconds_text(clock::duration d)
 {
@@ -45,6 +43,24 @@
 
 } // namespace
 
+void log_placement(worker& w, const caller_request& request, const placement& chosen)
+{
+    if (!request.is_sampled || !take_line(w)) {
+        return;
+    }
+    const auto& load = w.loads[chosen.target->id];
+    const auto now = clock::now();
+    log::write(log::level::info, "placed",
+               {{"request", request.id},
+                {"target", chosen.target->id.value},
+                {"position", std::to_string(chosen.position)},
+                {"predicted_wait_ms", std::to_string(chosen.wait.count())},
+                {"in_flight", std::to_string(load.in_flight)},
+                {"mean_queue", std::to_string(load.waiting_mean)},
+                {"report_age_ms", milliseconds_text(now - load.reported)},
+                {"handed_over", std::to_string(handed_over_share(load, now))}});
+}
+
 void log_attempt(worker& w, const caller_request& request, const slot& used, const forward_end& end,
                  clock::duration took)
 {
@@ -67,14 +83,14 @@
 void log_end(worker& w, const caller_request& request, const forward_end& end)
 {
     const bool is_success = end.code == result_code::ok;
-    if (is_success && w.ends++ % sampled_success != 0) {
+    if (is_success && !request.is_sampled) {
         return;
     }
     if (!take_line(w)) {
         return;
     }
     const auto now = clock::now();
-    log::write(is_success ? log::level::debug : log::level::info, "request_ended",
+    log::write(log::level::info, "request_ended",
                {{"request", request.id},
                 {"route", request.rule != nullptr ? request.rule->id.value : ""},
                 {"service", request.service},
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -29,6 +29,8 @@
 /// How long a closed connection waits for the caller to close it as well, so that bytes still on
 /// their way do not reset it before the last answer has arrived.
 constexpr std::chrono::milliseconds linger_time{1'000};
+/// One of so many requests is logged also if it succeeds.
+constexpr std::uint64_t sampled_requests = 20;
 /// What a refused caller is told when nothing better is known.
 constexpr std::chrono::milliseconds default_retry_after{300};
 constexpr double ms_per_second = 1'000;
@@ -370,6 +372,7 @@
     request.rule = rule;
     request.started = clock::now();
     request.keep_alive = running.parser.get().keep_alive();
+    request.is_sampled = w.requests_read++ % sampled_requests == 0;
     if (const auto name = w.context.profile->request_id_header; !name.empty()) {
         request.id = std::string(running.parser.get()[name]);
     }
