Count a starting host from its first beat on our own interface

Ruled out: a late record of the outcome (polled: there at once).

Change: only where look-ups name hosts from the store a starting host counts as leaving; without a route rule a kept connection is doubted after a third again.

--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -146,7 +146,7 @@
         remove_target(state, e, id, "its entry was deleted", out);
     } else if (inventory.targets.contains(id)) {
         inventory.missing.try_emplace(id, state.fleet.platform_reachable ? latest
-                                                                          : e.now + return_time);
+                                                                         : e.now + return_time);
     }
 }
 
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -75,7 +75,11 @@
         message.fingerprint = state.fleet.fingerprint;
     }
     message.inventory = revisions_of(state.inventory);
-    const bool leaving = state.stage != life_stage::serving; // Takes no callers, or not yet.
+    // Where hosts are told to callers as soon as they are heard of, one that does not serve yet
+    // must not be. Elsewhere it counts from its first beat, since claims go by who is there.
+    const bool is_early = state.self.has_inventory && state.stage == life_stage::starting;
+    const bool leaving =
+        is_early || state.stage == life_stage::leaving || state.stage == life_stage::ending;
     message.beats.push_back(
         {state.self.host, state.self.life, state.membership.own_beat, leaving, false});
     return message;
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -29,9 +29,10 @@
     failure_domain_id domain;
     incarnation life;
     std::vector<endpoint> seeds;
-    almondquay::host registration{};                  ///< what the store lists about this host
-    std::map<failure_domain_id, region_id> domains{}; ///< where places lie, if the text does not say
-    bool has_inventory = false;                     ///< the store lists targets and hosts
+    almondquay::host registration{}; ///< what the store lists about this host
+    std::map<failure_domain_id, region_id>
+        domains{};              ///< where places lie, if the text does not say
+    bool has_inventory = false; ///< the store lists targets and hosts
     decltype(store_protocol::parse_fleet) parse = nullptr; ///< reads the configuration's text
     shared_budgets budgets{};
     std::chrono::milliseconds stop_grace{0}; ///< from the stop signal to the end; 0: no limit
@@ -84,8 +85,8 @@
     unsigned failures = 0;  ///< in a row
     monotonic_time next_call{};
     monotonic_time behind_since{}; ///< since when peers are known to be ahead
-    std::string page_after;     ///< of a list that is being read: where the next page begins
-    std::set<std::string> seen; ///< names on the pages so far
+    std::string page_after;        ///< of a list that is being read: where the next page begins
+    std::set<std::string> seen;    ///< names on the pages so far
 };
 
 struct listed_target {
@@ -101,7 +102,7 @@
     std::map<target_id, monotonic_time> missing; ///< when targets that are no longer listed go
     std::set<std::string> unreadable;            ///< entries that were logged as such
     monotonic_time last_failure{};               ///< of any call to the store
-    monotonic_time answers_since{}; ///< when the store answered again after a failure
+    monotonic_time answers_since{};              ///< when the store answered again after a failure
     monotonic_time next_peer_question{};
     bool is_registered = false;
     bool registration_running = false;
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -293,8 +293,7 @@
 clock::time_point answer_deadline(const caller_request& request, const upstream_connection& used)
 {
     const auto now = clock::now();
-    const bool may_be_silent = used.reused && now - used.idle_since >= trusted_idle_time;
-    if (!may_be_silent || !request.repeatable || !request.body_is_complete) {
+    if (!used.reused || !request.repeatable || !request.body_is_complete) {
         return request.deadline;
     }
     const auto part = (request.deadline - now) / reused_connection_part;
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -68,7 +68,8 @@
     const auto slots = std::max<double>(1, t.slots);
     const auto known = std::max(expected_in_flight(*load, now),
                                 slots + mean_queue(*load, now)); // Of a busy target.
-    const auto ahead = (mean_queue(*load, now) > 1 ? known : expected_in_flight(*load, now)) + 1 - slots;
+    const auto ahead =
+        (mean_queue(*load, now) > 1 ? known : expected_in_flight(*load, now)) + 1 - slots;
     const auto work =
         load->service_ms > 0 ? load->service_ms : static_cast<double>(wish.work.count());
     const auto wait = std::max(0.0, ahead) * work / slots;
@@ -85,8 +86,7 @@
 double turn_of(std::uint64_t object, const target_route& t)
 {
     constexpr std::uint64_t seed = 0x9e3779b97f4a7c15U; // Unlike that of the order.
-    const auto hash =
-        XXH3_64bits_withSeed(t.id.value.data(), t.id.value.size(), object ^ seed);
+    const auto hash = XXH3_64bits_withSeed(t.id.value.data(), t.id.value.size(), object ^ seed);
     return static_cast<double>(hash) / hashes;
 }
 
@@ -213,8 +213,9 @@
     const std::chrono::duration<double, std::milli> whole = took;
     const auto rounds = 1 + static_cast<double>(load.waiting) / std::max<std::uint32_t>(1, slots);
     const auto service = whole.count() / rounds;
-    load.service_ms =
-        load.service_ms > 0 ? load.service_ms + (service - load.service_ms) * service_step : service;
+    load.service_ms = load.service_ms > 0
+                          ? load.service_ms + (service - load.service_ms) * service_step
+                          : service;
 }
 
 void note_sent(target_load& load, const target_route& target, clock::time_point now)
--- a/source/traffic/placement.h
+++ b/source/traffic/placement.h
@@ -22,9 +22,9 @@
 struct target_load {
     std::uint32_t in_flight = 0; ///< requests of this host
     std::uint32_t others = 0;    ///< of other hosts, by the target's last report
-    double service_ms = 0;     ///< what it takes for a request without its wait; 0: not known
-    std::uint32_t waiting = 0; ///< in its queue, by its last report
-    double waiting_mean = 0; ///< requests in its queue, a running mean of reports
+    double service_ms = 0;       ///< what it takes for a request without its wait; 0: not known
+    std::uint32_t waiting = 0;   ///< in its queue, by its last report
+    double waiting_mean = 0;     ///< requests in its queue, a running mean of reports
     std::chrono::steady_clock::time_point reported{};
     std::chrono::steady_clock::time_point avoid_until{}; ///< after failures in a row
     unsigned failures = 0;
@@ -49,7 +49,7 @@
 struct placement {
     const target_route* target = nullptr; ///< nullptr: none may be used
     std::chrono::milliseconds wait{0};    ///< predicted, in its queue
-    std::size_t position = 0; ///< in the object's order
+    std::size_t position = 0;             ///< in the object's order
     bool any_usable = false;              ///< some target would be usable if it had room
 };
 
--- a/source/traffic/upstream_pool.h
+++ b/source/traffic/upstream_pool.h
@@ -43,8 +43,6 @@
 constexpr std::size_t max_idle_connections = 4;
 /// An idle connection older than this may have been forgotten by something on its way.
 constexpr std::chrono::seconds max_idle_time{10};
-/// A connection that was idle for less than this is taken to be alive.
-constexpr std::chrono::seconds trusted_idle_time{1};
 /// A connection is given up so long before the target would close it.
 constexpr std::chrono::milliseconds idle_margin{1'000};
 /// Data that stays unacknowledged for this long ends a connection that has gone silent.
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -51,8 +51,8 @@
 
 /// What requests of a route were seen to need.
 struct route_estimate {
-    double work_ms = 100; ///< what warm work takes without a wait
-    double answer_bytes = 0;             ///< a running mean
+    double work_ms = 100;    ///< what warm work takes without a wait
+    double answer_bytes = 0; ///< a running mean
 };
 
 /// All of it is used on the thread of `io` only.
@@ -75,7 +75,7 @@
     std::chrono::steady_clock::time_point log_window_start{};
     unsigned log_lines = 0; ///< in this window
     std::uint64_t log_lines_dropped = 0;
-    std::uint64_t requests_read = 0; ///< for sampling
+    std::uint64_t requests_read = 0;                 ///< for sampling
     std::map<target_id, unsigned> failing;           ///< failures in a row seen by this thread
     std::map<std::uint64_t, verdict_wait*> verdicts; ///< by request
     std::uint64_t requests = 0;
