--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -10,6 +10,8 @@
 #include "store/http_object_store.h"
 
 #include <csignal>
+#include <fstream>
+#include <sstream>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -22,6 +24,9 @@
 
 namespace asio = boost::asio;
 
+/// How soon a settings file that changed without a signal is read again.
+constexpr std::chrono::seconds settings_check_interval{2};
+
 /// The parts of a running host. Members are destroyed from the last to the first, so the ones
 /// that call others stand below them.
 struct daemon_parts {
@@ -40,7 +45,9 @@
     std::unique_ptr<traffic_server> traffic;
     interpreter effects_runner;
     asio::steady_timer ticks{io};
-    asio::signal_set signals{io, SIGTERM, SIGINT};
+    asio::signal_set signals{io, SIGTERM, SIGINT, SIGHUP};
+    std::string settings_text; ///< as it was read last
+    std::chrono::steady_clock::time_point next_settings_check{};
 };
 
 void handle(daemon_parts& d, event_body body)
@@ -50,12 +57,60 @@
     carry_out(d.effects_runner, reduce(d.state, e));
 }
 
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Takes over what may change while the process runs: seeds and the log level. Other changes are
+/// logged and need a restart; a file that cannot be read changes nothing.
+void reload_settings(daemon_parts& d, const std::string& why)
+{
+    const auto text = read_file(d.settings.file);
+    if (text == d.settings_text) {
+        log::write(log::level::info, "settings_unchanged", {{"why", why}});
+        return;
+    }
+    const auto parsed = parse_process_settings(text, d.settings.file, settings_user::daemon);
+    if (const auto* findings = std::get_if<diagnostics>(&parsed)) {
+        log::write(log::level::error, "settings_refused",
+                   {{"why", why}, {"finding", to_string(findings->front())}});
+        return;
+    }
+    const auto& settings = std::get<process_settings>(parsed);
+    d.settings_text = text;
+    log::set_level(log::parse_level(settings.log_level));
+    handle(d, settings_changed_event{settings.seeds});
+    log::write(log::level::info, "settings_reloaded",
+               {{"why", why},
+                {"seeds", std::to_string(settings.seeds.size())},
+                {"log_level", settings.log_level}});
+}
+
+/// The file may change without a signal.
+void check_settings_file(daemon_parts& d)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now < d.next_settings_check) {
+        return;
+    }
+    d.next_settings_check = now + settings_check_interval;
+    const auto text = read_file(d.settings.file);
+    if (!text.empty() && text != d.settings_text) {
+        reload_settings(d, "file changed");
+    }
+}
+
 void schedule_tick(daemon_parts& d)
 {
     d.ticks.expires_after(tick_interval);
     d.ticks.async_wait([&d](const boost::system::error_code& problem) {
         if (!problem) {
             handle(d, tick_event{});
+            check_settings_file(d);
             schedule_tick(d);
         }
     });
@@ -76,10 +131,15 @@
 
 void wait_for_signal(daemon_parts& d)
 {
-    d.signals.async_wait([&d](const boost::system::error_code& problem, int /*signal*/) {
+    d.signals.async_wait([&d](const boost::system::error_code& problem, int signal) {
         if (problem) {
             return;
         }
+        if (signal == SIGHUP) {
+            reload_settings(d, "signal");
+            wait_for_signal(d);
+            return;
+        }
         const bool is_stopping =
             d.state.stage == life_stage::leaving || d.state.stage == life_stage::ending;
         if (is_stopping) {
@@ -241,6 +301,7 @@
     log::write(log::level::info, "started",
                {{"callers", settings.address + ":" + std::to_string(settings.caller_port)},
                 {"peers", settings.address + ":" + std::to_string(settings.peer_port)}});
+    d.settings_text = read_file(settings.file);
     wait_for_signal(d);
     handle(d, tick_event{});
     schedule_tick(d);
--- a/source/config/process_settings.cpp
+++ b/source/config/process_settings.cpp
@@ -170,6 +170,7 @@
 {
     auto document = read_ini(text, file);
     process_settings settings;
+    settings.file = file;
     const auto sections = document.sections;
     for (const auto& section : sections) {
         read_section(section, document, settings);
--- a/source/config/process_settings.h
+++ b/source/config/process_settings.h
@@ -31,6 +31,7 @@
 
 /// What one process learns from its own small INI file; the same file serves both programs.
 struct process_settings {
+    std::string file;         ///< where the settings stand
     host_id host;             ///< empty for the command line
     failure_domain_id domain; ///< empty for the command line
     std::string address;      ///< where this host listens
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -47,9 +47,10 @@
     if (kind == inventory_kind::hosts) {
         return longest_follow_wait; // Gossip tells of hosts sooner than their list.
     }
-    const auto hosts = std::max<std::size_t>(1, live_hosts(state).size());
-    const auto shared = follow_interval * hosts;
-    std::uniform_int_distribution<std::int64_t> jitter(shared.count() * 3 / 4, shared.count());
+    const auto hosts =
+        static_cast<std::int64_t>(std::max<std::size_t>(1, live_hosts(state).size()));
+    const std::int64_t shared = follow_interval.count() * hosts;
+    std::uniform_int_distribution<std::int64_t> jitter(shared * 3 / 4, shared);
     return std::clamp(std::chrono::milliseconds(jitter(state.random)), shortest_follow_wait,
                       longest_follow_wait);
 }
--- a/source/logging/log.cpp
+++ b/source/logging/log.cpp
@@ -48,11 +48,16 @@
 {
     process_name() = std::move(process);
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     auto sink = boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend);
     boost::log::core::get()->remove_all_sinks();
     boost::log::core::get()->add_sink(sink);
+    set_level(lowest);
+}
+
+void set_level(level lowest)
+{
     boost::log::core::get()->set_filter(trivial::severity >= severity_of(lowest));
 }
 
--- a/source/logging/log.h
+++ b/source/logging/log.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-/// Structured logs: one line an event, key=value, on standard error. The logging library stays
+/// Structured logs: one line an event, key=value, on standard output. The logging library stays
 /// behind this header so that its own headers are compiled once.
 namespace almondquay::log {
 
@@ -21,6 +21,9 @@
 /// Sets up the sink. Lines below `lowest` are dropped; `process` is put on every line.
 void start(level lowest, std::string process);
 
+/// Changes which lines are dropped.
+void set_level(level lowest);
+
 /// Writes one line: time, level, process, event and the fields in their order.
 void write(level l, std::string_view event, std::initializer_list<field> fields = {});
 
--- a/unit_tests/processes/configuration.sh
+++ b/unit_tests/processes/configuration.sh
@@ -47,7 +47,7 @@
 kill -TERM "$(pid_of host-2-1)"
 ended() { ! kill -0 "$(pid_of host-2-1)" 2>/dev/null; }
 expect "it exits by itself" wait_until 8 ended
-expect "a second signal said what it waited for" grep -q "event=still_stopping" "$work/host-2-1.log"
+expect "a second signal said what it waited for" grep -q "event=still_stopping" "$work/host-2-1.out"
 
 id=$(tool timeline | grep "drain target" | tail -1 | grep -o '[a-z0-9-]*/[0-9]*/[0-9]*' | head -1)
 expect "a decision is explained" contains "$(tool explain "$id")" "rule: only a higher generation"
--- a/unit_tests/processes/hosts_killed.sh
+++ b/unit_tests/processes/hosts_killed.sh
@@ -23,6 +23,6 @@
 done
 ended() { ! kill -0 "$(pid_of host-2-1)" 2>/dev/null; }
 expect "the stopped host ended by itself" wait_until 10 ended
-expect "it exited without force" grep -q "event=stopped" "$work/host-2-1.log"
+expect "it exited without force" grep -q "event=stopped" "$work/host-2-1.out"
 expect "no target was over its slots" equal "$(over_limit)" 0
 finish
--- a/unit_tests/processes/registry.sh
+++ b/unit_tests/processes/registry.sh
@@ -100,6 +100,12 @@
 expect "a host starts from its peers while the store is away" wait_until 5 served 2 z
 http_post "$registry" "/control?fault=down&value=0"
 
+kill -HUP "$(pid_of entry-1)"
+sed -i 's/^seeds = .*/seeds = 127.0.1.2:7001/' "$work/entry-1.ini"
+reloaded() { grep -q "event=settings_reloaded" "$work/entry-1.out"; }
+expect "a changed settings file is read without a signal" wait_until 5 reloaded
+expect "a host serves on after SIGHUP" served 1 z
+
 ask 1 "/z/slow?ms=1500" >"$work/slow.txt" &
 slow=$!
 sleep 0.3
