Let the test's callers wait for their first look-up; judge by parts, not by speed

Cause: process_hosts_killed failed 4 of 4 runs beside load 8 to 12: 12 to 15 large answers in its time, 20 wanted. The caller's other connections found no hosts while the first look-up ran, threw, and were gone, so one of four did all the work; and the number that fits into 6 s is the machine's: direct to a target, without any host, 22 fitted into 4 s under the same load. Ruled out: requests that hang (none was refused or lost in 13 s, one connection was seen), limits of slots.

Change: connections wait until the first look-up has ended; the check asks for nine tenths of all that ended, and one for each connection at least, in place of more than 20. That is as strict where the machine is fast and stricter for the rest: 20 of 900 small requests would have passed before.

--- a/unit_tests/fakes/fake_caller.cpp
+++ b/unit_tests/fakes/fake_caller.cpp
@@ -32,6 +32,7 @@
 using clock_type = std::chrono::steady_clock;
 
 constexpr std::chrono::seconds request_timeout{5};
+constexpr std::chrono::milliseconds first_answer_pause{5};
 constexpr std::chrono::milliseconds lookup_timeout{500};
 
 struct options {
@@ -175,6 +176,11 @@
         c.hosts_expire = clock_type::now() + lookup_timeout; // One look-up at a time.
         co_await look_up(c);
     }
+    while (c.hosts.empty() && clock_type::now() < c.hosts_expire) {
+        asio::steady_timer pause(c.io, first_answer_pause); // Another connection looks up.
+        error_code ignored;
+        co_await pause.async_wait(into(ignored));
+    }
     co_return choose(c, avoid);
 }
 
--- a/unit_tests/processes/hosts_killed.sh
+++ b/unit_tests/processes/hosts_killed.sh
@@ -16,10 +16,16 @@
 kill -TERM "$(pid_of host-2-1)"
 wait "$large" "$small"
 
+# Nine tenths of what ended, and at least one for each connection; how many fit into the time is the
+# machine's business.
+mostly_served() {
+    awk '/^(served|lost|wrong|refused)/ {all += $NF} /^served/ {served = $NF}
+        END {print "  " served " of " all " served"; exit !(served >= 4 && served * 10 >= all * 9)}' "$1"
+}
 for size in large small; do
     expect "$size: no answer was short or somebody else's" equal "$(count_of "$work/$size.txt" wrong)" 0
     expect "$size: resends made up for every cut" equal "$(awk '/^lost/{print $NF}' "$work/$size.txt")" 0
-    expect "$size: most requests were served" test "$(count_of "$work/$size.txt" served)" -gt 20
+    expect "$size: most requests were served" mostly_served "$work/$size.txt"
 done
 ended() { ! kill -0 "$(pid_of host-2-1)" 2>/dev/null; }
 expect "the stopped host ended by itself" wait_until 10 ended
