Let no question outlive an outage of the store; tell peers of changes only

Ruled out: the pause for swarms (learned within 1.1 s where the question was alive). Beside it, hosts told peers the store's revision of answers without changes, and each asked 27 to 53 times about evacuations for nothing.

Change: questions for targets and configuration wait 3 s at most, for evacuations 5 s; peers hear the revision of a list's last change.

--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -42,17 +42,31 @@
     return std::chrono::milliseconds(jitter(state.random));
 }
 
+std::chrono::milliseconds longest_wait(inventory_kind kind)
+{
+    switch (kind) {
+    case inventory_kind::configuration:
+    case inventory_kind::targets:
+        return longest_urgent_wait;
+    case inventory_kind::evacuations:
+        return longest_evacuation_wait;
+    case inventory_kind::hosts:
+        break; // Gossip tells of hosts sooner than their list.
+    }
+    return longest_follow_wait;
+}
+
 std::chrono::milliseconds follow_wait(control_state& state, inventory_kind kind)
 {
     if (kind == inventory_kind::hosts) {
-        return longest_follow_wait; // Gossip tells of hosts sooner than their list.
+        return longest_follow_wait;
     }
     const auto hosts =
         static_cast<std::int64_t>(std::max<std::size_t>(1, live_hosts(state).size()));
     const std::int64_t shared = follow_interval.count() * hosts;
     std::uniform_int_distribution<std::int64_t> jitter(shared * 3 / 4, shared);
     return std::clamp(std::chrono::milliseconds(jitter(state.random)), shortest_follow_wait,
-                      longest_follow_wait);
+                      longest_wait(kind));
 }
 
 void ask(control_state& state, inventory_kind kind, effects& out)
@@ -312,6 +326,9 @@
         take_item(state, e, question.kind, item, out);
     }
     auto& list = list_of(state.inventory, question.kind);
+    if (!question.follow || !page.items.empty()) {
+        list.changed = page.at;
+    }
     const bool comes_in_swarms =
         question.kind == inventory_kind::targets || question.kind == inventory_kind::hosts;
     const bool may_pause = question.follow && comes_in_swarms && !page.items.empty();
@@ -496,6 +513,7 @@
         }
         drop_unseen(state, e, kind, seen, out);
         list.at = copy.at.at(i);
+        list.changed = list.at;
         list.is_complete = true;
         list.is_following = true;
         list.page_after.clear();
@@ -535,7 +553,7 @@
     inventory_revisions all;
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         const auto& list = inventory.lists.at(i);
-        all.at(i) = list.is_complete ? list.at : store_revision{};
+        all.at(i) = list.is_complete ? list.changed : store_revision{};
     }
     return all;
 }
--- a/source/control/inventory_sync.h
+++ b/source/control/inventory_sync.h
@@ -16,6 +16,10 @@
 /// and tell each other of what they missed.
 constexpr std::chrono::milliseconds shortest_follow_wait{2'000};
 constexpr std::chrono::milliseconds longest_follow_wait{25'000};
+/// A question that an outage of the store has swallowed must be over soon after it, since targets
+/// and configuration are then followed again within the usual two seconds.
+constexpr std::chrono::milliseconds longest_urgent_wait{3'000};
+constexpr std::chrono::milliseconds longest_evacuation_wait{5'000};
 constexpr std::chrono::milliseconds follow_interval{750};
 /// A list that stays behind that of a peer for this long is asked for anew.
 constexpr std::chrono::milliseconds behind_patience{150};
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -78,6 +78,7 @@
 /// How far one list has been read.
 struct inventory_list {
     store_revision at;
+    store_revision changed;   ///< of the last answer that brought something
     bool is_complete = false; ///< read whole once, here or by a peer
     bool is_following = false;
     bool call_running = false;
