Let lists in INI texts go over several lines

Cause: the large site renders nine failure domains into one line; the parser takes 198 characters a line, a limit of the library, and refused the settings (1003 line_too_long), so no process listened. Change: a key written 'key[] = a, b' may stand on several lines; its parts are joined. Findings name the line of the item. A key that takes one value refuses the form.

--- a/source/config/fleet_text.cpp
+++ b/source/config/fleet_text.cpp
@@ -77,25 +77,26 @@
     add_named(r, f.hosts, h);
 }
 
+void read_paths(section_reader& r, std::string_view key, bool repeatable, service& s)
+{
+    for (auto& path : read_list(r, key)) {
+        if (!path.text.starts_with('/')) {
+            report(r, path, result_code::bad_value,
+                   "a route is a path that starts with '/', not '" + path.text + "'");
+        }
+        s.routes.push_back({std::move(path.text), repeatable});
+    }
+}
+
 void read_service(section_reader& r, fleet& f)
 {
     service s;
     s.id.value = r.section->names[0];
     for (auto& name : read_list(r, "depends_on")) {
-        s.depends_on.emplace_back(std::move(name));
-    }
-    for (auto& path : read_list(r, "repeatable")) {
-        s.routes.push_back({std::move(path), true});
-    }
-    for (auto& path : read_list(r, "not_repeatable")) {
-        s.routes.push_back({std::move(path), false});
-    }
-    for (const auto& path : s.routes) {
-        if (!path.path_prefix.starts_with('/')) {
-            report(r, path.repeatable ? "repeatable" : "not_repeatable", result_code::bad_value,
-                   "a route is a path that starts with '/', not '" + path.path_prefix + "'");
-        }
+        s.depends_on.emplace_back(std::move(name.text));
     }
+    read_paths(r, "repeatable", true, s);
+    read_paths(r, "not_repeatable", false, s);
     s.deadline = read_milliseconds(r, "deadline_ms", deadline_range, s.deadline);
     s.rank = static_cast<std::uint32_t>(read_number(r, "rank", rank_range, s.rank));
     add_named(r, f.services, s);
@@ -135,12 +136,12 @@
 {
     const region_id near_region(read_required(r, "region"));
     for (const auto& cidr : read_list(r, "blocks")) {
-        if (!is_cidr(cidr)) {
-            report(r, "blocks", result_code::bad_value,
-                   "'" + cidr + "' is not a block such as 127.1.0.0/16");
+        if (!is_cidr(cidr.text)) {
+            report(r, cidr, result_code::bad_value,
+                   "'" + cidr.text + "' is not a block such as 127.1.0.0/16");
             continue;
         }
-        f.caller_blocks.push_back({cidr, near_region});
+        f.caller_blocks.push_back({cidr.text, near_region});
     }
 }
 
--- a/source/config/ini_document.cpp
+++ b/source/config/ini_document.cpp
@@ -13,6 +13,7 @@
 /// ones silently, so longer ones are refused here.
 constexpr std::size_t max_name_length = 49;
 constexpr std::string_view blanks = " \t\r";
+constexpr std::string_view list_part_mark = "[]";
 
 /// Feeds the library line by line. The library reports neither line numbers nor sections
 /// without keys, so both are noted on the way through.
@@ -62,7 +63,8 @@
         text.find('\0') != std::string_view::npos) {
         add_finding(*feed.document, result_code::line_too_long, feed.line,
                     "a line may have " + std::to_string(size - 2) +
-                        " characters, none of them null");
+                        " characters, none of them null; longer lists go over several lines, each "
+                        "'key[] = ...'");
         text = "";
     }
     if (text.starts_with('[')) {
@@ -86,15 +88,21 @@
         add_finding(document, result_code::text_syntax, feed.line, "a key name is too long");
         return 1;
     }
+    std::string_view key(name);
+    const bool is_list_part = key.ends_with(list_part_mark);
+    if (is_list_part) {
+        key.remove_suffix(list_part_mark.size());
+    }
     auto& entries = document.sections.back().entries;
-    const bool is_repeated =
-        std::ranges::any_of(entries, [&](const ini_entry& e) { return e.key == name; });
+    const bool is_repeated = std::ranges::any_of(entries, [&](const ini_entry& e) {
+        return e.key == key && !(e.is_list_part && is_list_part);
+    });
     if (is_repeated) {
         add_finding(document, result_code::duplicate_name, feed.line,
-                    "key '" + std::string(name) + "' stands twice in its section");
+                    "key '" + std::string(key) + "' stands twice in its section");
         return 1;
     }
-    entries.push_back({name, value, feed.line});
+    entries.push_back({std::string(key), value, feed.line, is_list_part});
     return 1;
 }
 
--- a/source/config/ini_document.h
+++ b/source/config/ini_document.h
@@ -7,12 +7,16 @@
 #include <vector>
 
 /// INI texts with the line of every heading and key, so that findings can point at them.
+///
+/// A key stands once in its section. A list may instead be written over several lines, each
+/// "key[] = a, b"; its parts are joined in their order.
 namespace almondquay {
 
 struct ini_entry {
     std::string key;
     std::string value;
     int line = 0;
+    bool is_list_part = false; ///< written "key[] = ..."
 };
 
 /// "[grant mersin-a izmir-b ledger]" has kind "grant" and three names.
--- a/source/config/process_settings.cpp
+++ b/source/config/process_settings.cpp
@@ -41,14 +41,14 @@
 /// "mersin-a/mersin, mersin-b/mersin": failure domains with their regions.
 void read_domains(section_reader& reader, process_settings& settings)
 {
-    for (const auto& text : read_list(reader, "failure_domains")) {
-        const auto slash = text.find('/');
+    for (const auto& item : read_list(reader, "failure_domains")) {
+        const auto slash = item.text.find('/');
         if (slash == std::string::npos) {
-            report(reader, "failure_domains", result_code::bad_value,
-                   "'" + text + "' is not written DOMAIN/REGION");
+            report(reader, item, result_code::bad_value,
+                   "'" + item.text + "' is not written DOMAIN/REGION");
             continue;
         }
-        settings.domains.emplace(text.substr(0, slash), text.substr(slash + 1));
+        settings.domains.emplace(item.text.substr(0, slash), item.text.substr(slash + 1));
     }
 }
 
@@ -90,12 +90,12 @@
 
 void read_peers(section_reader& reader, process_settings& settings)
 {
-    for (const auto& text : read_list(reader, "seeds")) {
-        const auto seed = parse_endpoint(text);
+    for (const auto& item : read_list(reader, "seeds")) {
+        const auto seed = parse_endpoint(item.text);
         if (succeeded(seed)) {
             settings.seeds.push_back(value_of(seed));
         } else {
-            report(reader, "seeds", result_code::bad_value, error_of(seed).detail);
+            report(reader, item, result_code::bad_value, error_of(seed).detail);
         }
     }
     settings.secret.bytes = read_required(reader, "shared_secret");
--- a/source/config/section_reader.cpp
+++ b/source/config/section_reader.cpp
@@ -16,7 +16,21 @@
     reader.known_keys.push_back(key);
     const auto& entries = reader.section->entries;
     const auto found = std::ranges::find(entries, key, &ini_entry::key);
-    return found == entries.end() ? nullptr : &*found;
+    if (found == entries.end()) {
+        return nullptr;
+    }
+    if (found->is_list_part) {
+        report(reader, key, result_code::bad_value,
+               "'" + std::string(key) + "' takes one value and is written without []");
+        return nullptr;
+    }
+    return &*found;
+}
+
+void report(section_reader& reader, const list_item& item, result_code code, std::string message)
+{
+    reader.document->findings.push_back(
+        {code, reader.document->file, item.line, std::move(message)});
 }
 
 void report(section_reader& reader, std::string_view key, result_code code, std::string message)
@@ -118,10 +132,19 @@
     return entry->value == "yes";
 }
 
-std::vector<std::string> read_list(section_reader& reader, std::string_view key)
+std::vector<list_item> read_list(section_reader& reader, std::string_view key)
 {
-    const auto* entry = find_entry(reader, key);
-    return entry == nullptr ? std::vector<std::string>{} : split_list(entry->value);
+    reader.known_keys.push_back(key);
+    std::vector<list_item> items;
+    for (const auto& entry : reader.section->entries) {
+        if (entry.key != key) {
+            continue;
+        }
+        for (auto& text : split_list(entry.value)) {
+            items.push_back({std::move(text), entry.line});
+        }
+    }
+    return items;
 }
 
 void finish(section_reader& reader)
--- a/source/config/section_reader.h
+++ b/source/config/section_reader.h
@@ -28,7 +28,8 @@
 
 section_reader make_section_reader(const ini_section& section, ini_document& document);
 
-/// The entry of `key`, or nullptr. Marks the key as known.
+/// The entry of `key`, or nullptr. Marks the key as known. Finding: bad_value, if it is written as
+/// a list.
 const ini_entry* find_entry(section_reader& reader, std::string_view key);
 
 /// The text of a key that must be there. Finding: missing_key.
@@ -56,8 +57,17 @@
 /// "yes" or "no", or `fallback`. Finding: bad_value.
 bool read_flag(section_reader& reader, std::string_view key, bool fallback);
 
-/// A list split at commas and spaces; empty if the key is absent.
-std::vector<std::string> read_list(section_reader& reader, std::string_view key);
+/// One item of a list and the line that it stands on.
+struct list_item {
+    std::string text;
+    int line = 0;
+};
+
+/// A list split at commas and spaces, over all lines of the key; empty if the key is absent.
+std::vector<list_item> read_list(section_reader& reader, std::string_view key);
+
+/// Adds a finding about an item of a list.
+void report(section_reader& reader, const list_item& item, result_code code, std::string message);
 
 /// Adds a finding at the line of `key`, or of the section's heading if the key is absent.
 void report(section_reader& reader, std::string_view key, result_code code, std::string message);
--- a/unit_tests/config/fleet_text_test.cpp
+++ b/unit_tests/config/fleet_text_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(needs_its_sections);
     CPPUNIT_TEST(survives_any_bytes);
     CPPUNIT_TEST(envelope_survives_a_round_trip);
+    CPPUNIT_TEST(lists_go_over_lines);
     CPPUNIT_TEST(settings_are_checked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -165,6 +166,17 @@
         CPPUNIT_ASSERT(envelope.drains.empty());
     }
 
+    void lists_go_over_lines()
+    {
+        const std::string block = "[callers c]\nregion = mersin\nblocks[] = 127.0.0.0/24\n";
+        const auto parsed = parse_fleet(
+            std::string(good_text) + block + "blocks[] = 127.0.1.0/24, 127.0.2.0/24\n", "f");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, std::get<fleet>(parsed).caller_blocks.size());
+        expect(block + "blocks[] = 127.0.0.0/40\n", result_code::bad_value, 4);
+        expect(block + "blocks = 127.0.1.0/24\n", result_code::duplicate_name, 4);
+        expect("[callers c]\nregion[] = mersin\n", result_code::bad_value, 2);
+    }
+
     void settings_are_checked()
     {
         const std::string good = "[host]\nid = a\nfailure_domain = d\naddress = 127.0.1.1\n"
