--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -251,11 +251,13 @@
     self.domain = s.domain;
     self.life = incarnation(life);
     self.seeds = s.seeds;
-    self.registration = {s.host, s.domain, {s.address, s.caller_port}, {s.address, s.peer_port}};
+    self.registration = {s.host, s.domain, {s.address, s.caller_port}, {s.address, s.peer_port},
+                         s.weight};
     self.domains = s.domains;
     self.has_inventory = s.store == store_kind::registry;
     self.parse = protocol_of(s).parse_fleet;
     self.budgets = s.budgets;
+    self.news_within = s.news_within;
     self.stop_grace = s.stop_grace;
     return self;
 }
--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -55,6 +55,11 @@
 
 void run(interpreter& i, const ask_inventory_effect& e)
 {
+    log::write(log::level::debug, "ask_store",
+               {{"list", std::string(name_of(e.question.kind))},
+                {"since", std::to_string(e.question.since.value)},
+                {"follow", e.question.follow ? "yes" : "no"},
+                {"wait_ms", std::to_string(e.question.wait.count())}});
     i.store->ask(e.question, [emit = i.emit, question = e.question](result<inventory_page> page) {
         emit(inventory_read_event{question, std::move(page)});
     });
@@ -79,7 +84,8 @@
 
 void run(interpreter& i, const fetch_inventory_effect& e)
 {
-    call_rpc(*i.client, i.settings->secret, e.peer, "inventory", "", peer_timeout,
+    log::write(log::level::debug, "ask_peer", {{"peer", to_string(e.peer)}});
+    call_rpc(*i.client, i.settings->secret, e.peer, "inventory", encode(e.have), peer_timeout,
              [emit = i.emit, peer = to_string(e.peer)](const result<std::string>& answer) {
                  emit(peer_inventory_event{peer, succeeded(answer)
                                                      ? decode_inventory_copy(value_of(answer))
--- a/source/almondquayd/operator_api.cpp
+++ b/source/almondquayd/operator_api.cpp
@@ -1,6 +1,6 @@
 #include "almondquayd/operator_api.h"
 
-#include "control/inventory_sync.h"
+#include "control/peer_inventory.h"
 #include "control/status.h"
 
 #include <charconv>
@@ -32,8 +32,11 @@
 {
     rpc_methods methods;
     methods["fleet"] = [&state](const std::string&) { return answer_fleet(state); };
-    methods["inventory"] = [&state](const std::string&) {
-        return encode(copy_of(state, std::chrono::steady_clock::now()));
+    methods["inventory"] = [&state](const std::string& argument) {
+        const auto have = decode_inventory_revisions(argument);
+        return succeeded(have)
+                   ? encode(copy_of(state, value_of(have), std::chrono::steady_clock::now()))
+                   : std::string(name_of(code_of(have)));
     };
     methods["status"] = [&](const std::string&) { return answer_status(state, timeline, traffic); };
     methods["timeline"] = [&timeline](const std::string&) {
--- a/source/config/fleet.h
+++ b/source/config/fleet.h
@@ -32,8 +32,9 @@
 struct host {
     host_id id;
     failure_domain_id domain;
-    endpoint callers; ///< where callers look up and send requests
-    endpoint peers;   ///< where other hosts and operators reach it
+    endpoint callers;  ///< where callers look up and send requests
+    endpoint peers;    ///< where other hosts and operators reach it
+    double weight = 1; ///< its part of work that is dealt among hosts
 
     bool operator==(const host&) const = default;
 };
--- a/source/config/process_settings.cpp
+++ b/source/config/process_settings.cpp
@@ -14,6 +14,8 @@
 constexpr number_range timeout_range{10, 60'000};
 constexpr number_range grace_range{0, 3'600};
 constexpr number_range ratio_range{0, 1};
+constexpr number_range weight_range{0, 1'000};
+constexpr number_range news_range{1, 60};
 constexpr number_range budget_range{0, 1'000'000};
 
 void read_endpoint(section_reader& reader, std::string_view key, endpoint& into)
@@ -68,6 +70,7 @@
     read_port(reader, "peers", settings.peer_port);
     read_endpoint(reader, "lookups", settings.lookups);
     read_endpoint(reader, "readiness", settings.readiness);
+    settings.weight = read_decimal(reader, "weight", weight_range, settings.weight);
     read_domains(reader, settings);
 }
 
@@ -98,6 +101,7 @@
             report(reader, item, result_code::bad_value, error_of(seed).detail);
         }
     }
+    settings.news_within = read_seconds(reader, "news_within_s", news_range, settings.news_within);
     settings.secret.bytes = read_required(reader, "shared_secret");
     if (settings.secret.bytes.size() < min_secret_length) {
         report(reader, "shared_secret", result_code::bad_value,
--- a/source/config/process_settings.h
+++ b/source/config/process_settings.h
@@ -38,12 +38,14 @@
     std::uint16_t caller_port = 7000;
     std::uint16_t peer_port = 7001;
     endpoint lookups;   ///< a listener of its own for look-ups; no port: those of callers
+    double weight = 1;  ///< this host's part of work that is dealt among hosts
     endpoint readiness; ///< a listener of its own for readiness checks; no port: none
     std::map<failure_domain_id, region_id> domains; ///< where places lie, if the text does not say
     endpoint platform;                              ///< the platform's object API
     store_kind store = store_kind::own;
     std::chrono::milliseconds platform_timeout{2'000};
     std::vector<endpoint> seeds; ///< peer endpoints to ask before any fleet text is known
+    std::chrono::milliseconds news_within{2'000}; ///< a change is to be in force everywhere
     shared_secret secret;
     std::uint32_t traffic_threads = 2;
     std::uint32_t max_connections = 4'000;   ///< callers' connections for each traffic thread
--- a/source/control/effect.h
+++ b/source/control/effect.h
@@ -52,9 +52,11 @@
     host_id id;
 };
 
-/// Asks a peer for its copy of the inventory. Ends in a peer_inventory_event.
+/// Asks a peer for what its copy of the inventory has beyond `have`. Ends in a
+/// peer_inventory_event.
 struct fetch_inventory_effect {
     endpoint peer;
+    inventory_revisions have;
 };
 
 struct send_gossip_effect {
--- a/source/control/fleet_adoption.cpp
+++ b/source/control/fleet_adoption.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds shortest_backoff{200};
 constexpr std::chrono::milliseconds longest_backoff{5'000};
 constexpr unsigned max_doublings = 5;
+constexpr std::string_view from_store = "platform";
 
 std::uint64_t rank_of(const host_id& id)
 {
@@ -92,7 +93,11 @@
           {"source", source},
           {"changed_by", envelope.changed_by},
           {"change", change_id(envelope)}}});
-    announce(state, out);
+    renew_places(state); // The text just put in force does not list those to tell.
+    const bool is_relayed = state.self.has_inventory && source != from_store;
+    if (!is_relayed) {
+        announce(state, out);
+    }
 }
 
 /// The platform was restored to an older state: it gets back what is in force.
@@ -134,8 +139,9 @@
 
 void start_serving_if_ready(control_state& state, const event& e, effects& out)
 {
-    const bool is_ready = state.stage == life_stage::starting && state.fleet.envelope &&
-                          state.fleet.platform_answered && is_inventory_known(state);
+    const bool is_told =
+        state.self.has_inventory ? is_inventory_known(state) : state.fleet.platform_answered;
+    const bool is_ready = state.stage == life_stage::starting && state.fleet.envelope && is_told;
     if (!is_ready) {
         return;
     }
@@ -173,7 +179,7 @@
         const auto wait = f.envelope ? watch_wait : std::chrono::milliseconds{0};
         out.emplace_back(watch_fleet_effect{f.platform_version, wait});
     }
-    if (state.stage == life_stage::starting && !f.envelope) {
+    if (state.stage == life_stage::starting && !f.envelope && !state.self.has_inventory) {
         for (const auto& seed : state.self.seeds) {
             out.emplace_back(fetch_fleet_effect{seed});
         }
--- a/source/control/inventory_items.cpp
+++ b/source/control/inventory_items.cpp
@@ -185,7 +185,22 @@
     }
 }
 
-void drop_unseen(control_state& state, const event& e, inventory_kind kind,
+void take_gone(control_state& state, const event& e, inventory_kind kind, const std::string& name,
+               std::chrono::milliseconds kept_for, effects& out)
+{
+    if (kind != inventory_kind::targets) {
+        take_absence(state, e, kind, name, out);
+        return;
+    }
+    const target_id id(name);
+    if (kept_for.count() == 0) {
+        remove_target(state, e, id, "its entry was deleted", out);
+    } else if (state.inventory.targets.contains(id)) {
+        state.inventory.missing.try_emplace(id, e.now + kept_for);
+    }
+}
+
+bool drop_unseen(control_state& state, const event& e, inventory_kind kind,
                  const std::set<std::string>& seen, effects& out)
 {
     std::vector<std::string> gone;
@@ -206,6 +221,7 @@
     for (const auto& name : gone) {
         take_absence(state, e, kind, name, out);
     }
+    return !gone.empty();
 }
 
 void drop_missing(control_state& state, const event& e, effects& out)
--- a/source/control/inventory_items.h
+++ b/source/control/inventory_items.h
@@ -24,8 +24,13 @@
 void note_evacuation(control_state& state, const event& e, const failure_domain_id& domain,
                      bool begins, effects& out);
 
-/// What a whole list, whose names are `seen`, does not name any more is gone.
-void drop_unseen(control_state& state, const event& e, inventory_kind kind,
+/// An entry that a peer says is gone, or goes after `kept_for`.
+void take_gone(control_state& state, const event& e, inventory_kind kind, const std::string& name,
+               std::chrono::milliseconds kept_for, effects& out);
+
+/// What a whole list, whose names are `seen`, does not name any more is gone. Returns whether there
+/// was something.
+bool drop_unseen(control_state& state, const event& e, inventory_kind kind,
                  const std::set<std::string>& seen, effects& out);
 
 /// Drops the deleted targets whose time to register again is over.
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -2,10 +2,14 @@
 
 #include "control/decisions.h"
 #include "control/fleet_adoption.h"
+#include "control/inventory_changes.h"
 #include "control/inventory_items.h"
 #include "control/membership.h"
+#include "control/peer_inventory.h"
+#include "control/store_followers.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -16,25 +20,16 @@
 constexpr std::chrono::milliseconds shortest_backoff{150};
 constexpr std::chrono::milliseconds longest_backoff{1'500};
 constexpr unsigned max_doublings = 4;
-constexpr std::chrono::milliseconds peer_question_pause{400};
-/// Entry hosts silent for this long are taken off the list, by the live host of the lowest name.
+/// Entry hosts silent for this long are taken off the list, by the first follower of a region.
 constexpr std::chrono::minutes long_dead{2};
+/// The revision of a list in which nothing was ever listed; 0 would say that it is not known.
+const store_revision known_empty{1};
 /// Targets and hosts come and go many at a time. A pause before the next question gathers their
 /// changes in one answer; it is a small part of the seconds that a leaving target keeps serving.
 constexpr std::chrono::milliseconds swarm_pause{800};
 /// Gossip tells sooner which listed hosts live, so only new hosts wait for this.
 constexpr std::chrono::milliseconds host_swarm_pause{2'000};
 
-inventory_list& list_of(inventory_state& inventory, inventory_kind kind)
-{
-    return inventory.lists.at(static_cast<std::size_t>(kind));
-}
-
-const inventory_list& list_of(const inventory_state& inventory, inventory_kind kind)
-{
-    return inventory.lists.at(static_cast<std::size_t>(kind));
-}
-
 std::chrono::milliseconds backoff(control_state& state, unsigned failures)
 {
     const auto doubled = shortest_backoff * (1U << std::min(failures, max_doublings));
@@ -62,15 +57,20 @@
     if (list_of(state.inventory, kind).failures != 0) {
         return std::chrono::milliseconds{0}; // Tells soonest that the store has returned.
     }
+    if (state.inventory.own_rank >= followers_per_region) {
+        return std::chrono::milliseconds{0}; // The confirmation is wanted now.
+    }
     if (kind == inventory_kind::hosts) {
         return longest_follow_wait;
     }
-    const auto hosts =
-        static_cast<std::int64_t>(std::max<std::size_t>(1, live_hosts(state).size()));
-    const std::int64_t shared = follow_interval.count() * hosts;
-    std::uniform_int_distribution<std::int64_t> jitter(shared * 3 / 4, shared);
-    return std::clamp(std::chrono::milliseconds(jitter(state.random)), shortest_follow_wait,
-                      longest_wait(kind));
+    const auto [place, followers] = place_among_followers(state);
+    const auto whole = std::clamp(follow_interval * static_cast<int>(followers),
+                                  shortest_follow_wait, longest_wait(kind));
+    // News end the questions of all followers at once, so the first wait after them is of another
+    // length at each, and the answers without news that follow are spread.
+    return list_of(state.inventory, kind).had_news
+               ? whole * static_cast<int>(place + 1) / static_cast<int>(followers)
+               : whole;
 }
 
 void ask(control_state& state, inventory_kind kind, effects& out)
@@ -85,6 +85,9 @@
     question.since = list.at;
     question.wait = list.is_following ? follow_wait(state, kind) : std::chrono::milliseconds{0};
     question.number = ++list.call;
+    if (list.page_after.empty()) {
+        list.asked_at = state.now;
+    }
     out.emplace_back(ask_inventory_effect{std::move(question)});
 }
 
@@ -153,43 +156,82 @@
     return std::chrono::milliseconds{0};
 }
 
-void take_page(control_state& state, const event& e, const inventory_question& question,
-               const inventory_page& page, effects& out)
+/// Takes in a page of a list that is read whole. What the list is known up to changes only with its
+/// last page: until then neither this host nor a peer may rely on it.
+void take_list_page(control_state& state, const event& e, const inventory_question& question,
+                    const inventory_page& page, effects& out)
 {
+    auto& list = list_of(state.inventory, question.kind);
+    list.next_call = e.now;
+    if (question.after.empty()) {
+        list.read_at = page.at; // Changes made while the pages are read come again.
+        list.read_changed = {};
+        list.seen.clear();
+    }
+    list.read_changed = std::max(list.read_changed, latest_change(page));
     for (const auto& item : page.items) {
-        take_item(state, e, question.kind, item, out);
+        list.seen.insert(item.name);
     }
+    if (page.has_more && !page.items.empty()) {
+        list.page_after = page.items.back().name;
+        return;
+    }
+    const bool has_dropped = drop_unseen(state, e, question.kind, list.seen, out);
+    list.seen.clear();
+    list.page_after.clear();
+    list.is_complete = true;
+    list.is_following = true;
+    list.had_news = true;
+    list.at = list.read_at;
+    list.confirmed = list.asked_at;
+    // Deletions do not show in a list; changes after its first page are not known yet.
+    const auto changed = has_dropped ? list.at : std::min(list.read_changed, list.at);
+    if (changed > list.changed) {
+        list.changed = changed;
+        forget_changes(state.inventory, question.kind, list.changed);
+    }
+    list.changed = std::max(list.changed, known_empty);
+    announce(state, out); // Peers may lack the same changes without a sign.
+    state.inventory.repeats_announcement = true;
+}
+
+void take_changes(control_state& state, const event& e, const inventory_question& question,
+                  const inventory_page& page, effects& out)
+{
     auto& list = list_of(state.inventory, question.kind);
+    const bool has_changes = !page.items.empty();
+    const auto before = list.changed;
     list.changed = std::max(list.changed, latest_change(page));
-    const bool has_changes = question.follow && !page.items.empty();
+    list.at = page.at;
+    list.confirmed = e.now;
+    list.had_news = has_changes;
     list.next_call = has_changes ? e.now + pause_after(question.kind) : e.now;
-    if (!question.follow) {
-        for (const auto& item : page.items) {
-            list.seen.insert(item.name);
-        }
-        if (page.has_more && !page.items.empty()) {
-            list.page_after = page.items.back().name;
-            if (list.at.value == 0 || question.after.empty()) {
-                list.at = page.at; // Changes made while the pages are read come again.
-            }
-            return;
-        }
-        drop_unseen(state, e, question.kind, list.seen, out);
-        list.seen.clear();
-        list.page_after.clear();
-        const bool was_complete = list.is_complete;
-        list.is_complete = true;
-        list.is_following = true;
-        if (question.after.empty()) {
-            list.at = page.at;
-        }
-        if (was_complete) {
-            list.changed = std::max(list.changed, page.at); // Deletions do not show in a list.
-            announce(state, out); // Peers may have missed the same changes without a sign.
-        }
-        return;
+    for (const auto& item : page.items) {
+        note_change(state.inventory, question.kind, list.changed, item.name);
+    }
+    if (has_changes) {
+        state.inventory.news = question.kind == inventory_kind::configuration
+                                   ? std::string()
+                                   : news_of(state, question.kind, before);
+        announce(state, out);
+        state.inventory.repeats_announcement = true;
+    } else if (question.kind == inventory_kind::configuration ||
+               question.kind == inventory_kind::targets) {
+        tell(state, heirs(state, e.now), out);
+    }
+}
+
+void take_page(control_state& state, const event& e, const inventory_question& question,
+               const inventory_page& page, effects& out)
+{
+    for (const auto& item : page.items) {
+        take_item(state, e, question.kind, item, out);
+    }
+    if (question.follow) {
+        take_changes(state, e, question, page, out);
+    } else {
+        take_list_page(state, e, question, page, out);
     }
-    list.at = page.at;
 }
 
 void register_if_due(control_state& state, const event& e, effects& out)
@@ -206,8 +248,7 @@
 /// Hosts are replaced every day, so their entries must not pile up.
 void remove_long_dead(control_state& state, const event& e, effects& out)
 {
-    const auto live = live_hosts(state);
-    if (live.empty() || *live.begin() != state.self.host || !state.fleet.platform_reachable) {
+    if (state.inventory.own_rank != 0 || !state.fleet.platform_reachable) {
         return;
     }
     for (const auto& [id, m] : state.membership.members) {
@@ -219,24 +260,6 @@
     }
 }
 
-/// Peers help while the store does not answer.
-void ask_peers_if_needed(control_state& state, const event& e, effects& out)
-{
-    auto& inventory = state.inventory;
-    const bool needs_help = !is_inventory_known(state) &&
-                            list_of(inventory, inventory_kind::targets).failures != 0 &&
-                            e.now >= inventory.next_peer_question;
-    if (!needs_help) {
-        return;
-    }
-    inventory.next_peer_question = e.now + peer_question_pause;
-    for (const auto& seed : state.self.seeds) {
-        if (seed != state.self.registration.peers) {
-            out.emplace_back(fetch_inventory_effect{seed});
-        }
-    }
-}
-
 std::uint64_t rank_for(const target_id& t, const host_id& h)
 {
     return XXH3_64bits_withSeed(h.value.data(), h.value.size(),
@@ -250,18 +273,25 @@
     if (!state.self.has_inventory) {
         return;
     }
+    state.inventory.own_rank = rank_in_region(state, e.now);
+    if (std::exchange(state.inventory.repeats_announcement, false)) {
+        announce(state, out);
+        state.inventory.news.clear();
+    }
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         const auto& list = state.inventory.lists.at(i);
         const bool is_late = list.is_following && list.behind_since != monotonic_time{} &&
                              e.now - list.behind_since >= behind_patience;
-        if ((!list.call_running || is_late) && e.now >= list.next_call) {
-            ask(state, static_cast<inventory_kind>(i), out);
+        const auto kind = static_cast<inventory_kind>(i);
+        const bool is_due = (!list.call_running || is_late) && e.now >= list.next_call;
+        if (is_due && may_ask_store(state, kind, e.now)) {
+            ask(state, kind, out);
         }
     }
     register_if_due(state, e, out);
     drop_missing(state, e, out);
     remove_long_dead(state, e, out);
-    ask_peers_if_needed(state, e, out);
+    ask_peers_while_starting(state, e, out);
 }
 
 void take_inventory_page(control_state& state, const event& e, const inventory_read_event& read,
@@ -280,7 +310,8 @@
         take_failure(state, e, list, error_of(read.page), out);
     }
     state.fleet.platform_answered = true;
-    if (!list.call_running && e.now >= list.next_call) {
+    const bool is_due = !list.call_running && e.now >= list.next_call;
+    if (is_due && may_ask_store(state, read.question.kind, e.now)) {
         ask(state, read.question.kind, out);
     }
     start_serving_if_ready(state, e, out);
@@ -298,84 +329,6 @@
     }
 }
 
-void take_peer_inventory(control_state& state, const event& e, const peer_inventory_event& answer,
-                         effects& out)
-{
-    if (!succeeded(answer.copy)) {
-        return;
-    }
-    const auto& copy = value_of(answer.copy);
-    for (std::size_t i = 0; i < inventory_kinds; ++i) {
-        const auto kind = static_cast<inventory_kind>(i);
-        auto& list = state.inventory.lists.at(i);
-        const bool is_news = kind != inventory_kind::configuration && copy.at.at(i) > list.at;
-        if (!is_news) {
-            continue;
-        }
-        std::set<std::string> seen;
-        if (kind == inventory_kind::targets) {
-            for (const auto& t : copy.targets) {
-                seen.insert(t.what.id.value);
-                take_target(state, e, t, out);
-            }
-        } else if (kind == inventory_kind::hosts) {
-            for (const auto& h : copy.hosts) {
-                seen.insert(h.id.value);
-                take_host(state, h);
-            }
-        } else {
-            for (const auto& domain : copy.evacuated) {
-                seen.insert(domain.value);
-                note_evacuation(state, e, domain, true, out);
-            }
-        }
-        drop_unseen(state, e, kind, seen, out);
-        list.at = copy.at.at(i);
-        list.changed = list.at;
-        list.is_complete = true;
-        list.is_following = false; // The store's own list replaces the copy once it can be read.
-        list.page_after.clear();
-        list.seen.clear();
-        list.call_running = false;
-        list.next_call = e.now + backoff(state, list.failures);
-    }
-    start_serving_if_ready(state, e, out);
-}
-
-void note_peer_revisions(control_state& state, const event& e, const inventory_revisions& theirs,
-                         const endpoint& peer, effects& out)
-{
-    if (!state.self.has_inventory) {
-        return;
-    }
-    auto& inventory = state.inventory;
-    bool is_behind = false;
-    for (std::size_t i = 0; i < inventory_kinds; ++i) {
-        auto& list = inventory.lists.at(i);
-        if (theirs.at(i) <= list.at || !list.is_complete) {
-            continue;
-        }
-        is_behind = true;
-        if (list.behind_since == monotonic_time{}) {
-            list.behind_since = e.now;
-        }
-    }
-    if (is_behind && !state.fleet.platform_reachable && e.now >= inventory.next_peer_question) {
-        inventory.next_peer_question = e.now + peer_question_pause;
-        out.emplace_back(fetch_inventory_effect{peer});
-    }
-}
-
-inventory_revisions revisions_of(const inventory_state& inventory)
-{
-    inventory_revisions all;
-    for (std::size_t i = 0; i < inventory_kinds; ++i) {
-        const auto& list = inventory.lists.at(i);
-        all.at(i) = list.is_complete ? list.changed : store_revision{};
-    }
-    return all;
-}
-
 void renew_places(control_state& state)
 {
     if (!state.self.has_inventory) {
@@ -417,25 +370,4 @@
     return may_use ? found->second.cold_requests_per_second / hosts_for_cold_target : 0;
 }
 
-inventory_copy copy_of(const control_state& state, monotonic_time now)
-{
-    inventory_copy copy;
-    copy.at = revisions_of(state.inventory);
-    for (const auto& [id, listed] : state.inventory.targets) {
-        if (state.inventory.missing.contains(id)) {
-            continue; // A peer that learned it here would never hear of its deletion.
-        }
-        auto entry = listed.entry;
-        entry.cold_left =
-            std::max(std::chrono::duration_cast<std::chrono::milliseconds>(listed.cold_until - now),
-                     std::chrono::milliseconds{0});
-        copy.targets.push_back(std::move(entry));
-    }
-    for (const auto& [id, h] : state.inventory.hosts) {
-        copy.hosts.push_back(h);
-    }
-    copy.evacuated.assign(state.inventory.evacuated.begin(), state.inventory.evacuated.end());
-    return copy;
-}
-
 } // namespace almondquay
--- a/source/control/inventory_sync.h
+++ b/source/control/inventory_sync.h
@@ -6,19 +6,20 @@
 
 /// Keeps this host's copy of a store's inventory: configuration, targets, evacuations and hosts.
 ///
-/// Each list is read whole once and then followed by its changes. While the store is away the copy
-/// stays as it is, and newer parts of it come from peers. Targets that a fresh list no longer names
-/// after an outage get `return_time` to register again.
+/// A few hosts follow the store (see store_followers.h): each list is read whole once and then
+/// followed by its changes. All others have theirs from peers (see peer_inventory.h). While the
+/// store is away the copy stays as it is. Targets that a fresh list no longer names after an outage
+/// get `return_time` to register again.
 namespace almondquay {
 
 /// How long the store may hold back the answer to a question for changes. A question that has gone
-/// silent is noticed only by asking anew, so the live hosts together ask every `follow_interval`
-/// and tell each other of what they missed.
-constexpr std::chrono::milliseconds shortest_follow_wait{2'000};
+/// silent is noticed only by asking anew, so the followers together ask every `follow_interval` and
+/// tell each other of what they missed.
+constexpr std::chrono::milliseconds shortest_follow_wait{1'000};
 constexpr std::chrono::milliseconds longest_follow_wait{25'000};
 /// A question that an outage of the store has swallowed must be over soon after it, since targets
 /// and configuration are then followed again within the usual two seconds.
-constexpr std::chrono::milliseconds longest_urgent_wait{3'000};
+constexpr std::chrono::milliseconds longest_urgent_wait{3'500};
 constexpr std::chrono::milliseconds longest_evacuation_wait{5'000};
 constexpr std::chrono::milliseconds follow_interval{750};
 /// A list that stays behind that of a peer for this long is asked for anew.
@@ -36,18 +37,6 @@
 void take_host_registered(control_state& state, const event& e,
                           const host_registered_event& registered, effects& out);
 
-/// Takes over the parts of a peer's copy that are newer than the own ones.
-void take_peer_inventory(control_state& state, const event& e, const peer_inventory_event& answer,
-                         effects& out);
-
-/// Compares a peer's revisions with the own ones. Asks the store anew where the own list is behind,
-/// or the peer if the store does not answer.
-void note_peer_revisions(control_state& state, const event& e, const inventory_revisions& theirs,
-                         const endpoint& peer, effects& out);
-
-/// What this host tells its peers of its lists.
-inventory_revisions revisions_of(const inventory_state& inventory);
-
 /// Puts the inventory's places and targets into the fleet in force, which does not list them.
 void renew_places(control_state& state);
 
@@ -57,7 +46,4 @@
 /// Requests a second that this host may send to a cold target; 0 for most hosts.
 double cold_share(const control_state& state, const target& t);
 
-/// What a peer is told at `now`.
-inventory_copy copy_of(const control_state& state, monotonic_time now);
-
 } // namespace almondquay
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -1,7 +1,8 @@
 #include "control/membership.h"
 
 #include "control/decisions.h"
-#include "control/inventory_sync.h"
+#include "control/peer_inventory.h"
+#include "control/probing.h"
 
 #include <algorithm>
 
@@ -9,8 +10,8 @@
 
 namespace {
 
-constexpr std::size_t max_near_beats = 13;
-constexpr std::size_t max_far_beats = 10;
+constexpr std::size_t max_near_beats = 5;
+constexpr std::size_t max_far_beats = 5;
 static_assert(1 + max_near_beats + max_far_beats <= max_beats_per_message);
 /// Regions with more hosts than this are near by failure domains only.
 constexpr std::size_t max_hosts_of_near_region = 6;
@@ -20,6 +21,10 @@
 /// More than the largest message, which could otherwise never be paid for.
 constexpr double max_gossip_credit = 2.0 * max_datagram_bytes;
 constexpr std::chrono::seconds death_news_time{60};
+/// Deaths as young as this go before other beats.
+constexpr std::chrono::seconds urgent_news_time{10};
+constexpr std::size_t hosts_told_of_death_elsewhere = 4;
+constexpr std::chrono::milliseconds no_patience{0};
 /// Every third message leaves the failure domain.
 constexpr std::uint64_t far_turn = 3;
 /// What a message takes besides its beats: signature, header, time, generation, fingerprint and
@@ -65,41 +70,29 @@
     return near;
 }
 
-gossip_message make_message(const control_state& state)
+using member_entry = std::pair<const host_id, member>;
+
+bool is_urgent_death(const member& m, monotonic_time now)
 {
-    gossip_message message;
-    message.from = state.self.host;
-    message.time = state.clock;
-    if (state.fleet.envelope) {
-        message.in_force = state.fleet.envelope->number;
-        message.fingerprint = state.fleet.fingerprint;
-    }
-    message.inventory = revisions_of(state.inventory);
-    // Where hosts are told to callers as soon as they are heard of, one that does not serve yet
-    // must not be. Elsewhere it counts from its first beat, since claims go by who is there.
-    const bool is_early = state.self.has_inventory && state.stage == life_stage::starting;
-    const bool leaving =
-        is_early || state.stage == life_stage::leaving || state.stage == life_stage::ending;
-    message.beats.push_back(
-        {state.self.host, state.self.life, state.membership.own_beat, leaving, false});
-    return message;
+    return !m.alive && m.death_is_told && now - m.died < urgent_news_time;
 }
 
-using member_entry = std::pair<const host_id, member>;
-
 void add_some(control_state& state, std::vector<const member_entry*> entries, std::size_t most,
               gossip_message& message)
 {
     std::ranges::shuffle(entries, state.random);
+    std::ranges::stable_partition(entries, [&](const member_entry* entry) {
+        return is_urgent_death(entry->second, state.now);
+    });
     entries.resize(std::min(entries.size(), most));
     for (const auto* entry : entries) {
         const auto& [id, m] = *entry;
-        message.beats.push_back({id, m.life, m.beat, m.leaving, !m.alive});
+        message.beats.push_back({id, m.life, m.beat, m.leaving, !m.alive, m.starting});
     }
 }
 
-/// Within the own domain only its hosts matter, which keeps those messages small and frequent.
-/// Messages to other domains carry what else is known too, as far as it fits.
+/// Within the own domain only its hosts and recent deaths matter, which keeps those messages small
+/// and frequent. Messages to other domains carry what else is known too, as far as it fits.
 void add_beats(control_state& state, monotonic_time now, bool to_near, gossip_message& message)
 {
     std::vector<const member_entry*> near;
@@ -107,15 +100,17 @@
     for (const auto& entry : state.membership.members) {
         // A death is news for a while: other domains would notice it much later by themselves.
         const bool is_news =
-            entry.second.death_is_told && now - entry.second.last_advance < death_news_time;
+            entry.second.death_is_told && now - entry.second.died < death_news_time;
         if (entry.second.alive || is_news) {
             (is_near(state, entry.first) ? near : far).push_back(&entry);
         }
     }
     add_some(state, std::move(near), max_near_beats, message);
-    if (!to_near) {
-        add_some(state, std::move(far), max_far_beats, message);
+    if (to_near) {
+        std::erase_if(
+            far, [&](const member_entry* entry) { return !is_urgent_death(entry->second, now); });
     }
+    add_some(state, std::move(far), max_far_beats, message);
 }
 
 std::vector<endpoint> gossip_peers(const control_state& state, bool near)
@@ -177,6 +172,7 @@
 void mark_dead(control_state& state, const event& e, const host_id& id, member& m, effects& out)
 {
     m.alive = false;
+    m.died = e.now;
     state.snapshot_is_stale = true;
     const auto silence =
         std::chrono::duration_cast<std::chrono::milliseconds>(e.now - m.last_advance);
@@ -204,15 +200,18 @@
                 {{"incarnation", std::to_string(beat.life.value)}}});
 }
 
-/// A host that others take for dead is dead here too, unless a newer beat than theirs is known.
+/// A host that others take for dead is dead here too, unless a newer beat than theirs is known. One
+/// that was not heard of yet is noted, so that its older beats, which are still under way, count
+/// for nothing.
 void take_death(control_state& state, const event& e, const member_beat& beat, effects& out)
 {
-    const auto found = state.membership.members.find(beat.id);
-    if (found == state.membership.members.end() || !found->second.alive) {
+    auto [place, is_new] = state.membership.members.try_emplace(beat.id);
+    auto& m = place->second;
+    if (is_new) {
+        m = {beat.life, beat.beat, beat.leaving, beat.starting, false, true, e.now, e.now};
         return;
     }
-    auto& m = found->second;
-    if (std::tie(beat.life, beat.beat) >= std::tie(m.life, m.beat)) {
+    if (m.alive && std::tie(beat.life, beat.beat) >= std::tie(m.life, m.beat)) {
         m.life = beat.life;
         m.beat = beat.beat;
         mark_dead(state, e, beat.id, m, out);
@@ -235,8 +234,9 @@
     if (!is_new && !is_newer) {
         return;
     }
-    const bool changed = is_new || !m.alive || m.leaving != beat.leaving || m.life != beat.life;
-    m = {beat.life, beat.beat, beat.leaving, true, false, e.now};
+    const bool changed = is_new || !m.alive || m.leaving != beat.leaving ||
+                         m.starting != beat.starting || m.life != beat.life;
+    m = {beat.life, beat.beat, beat.leaving, beat.starting, true, false, m.died, e.now};
     if (changed) {
         mark_alive(state, e, beat, is_new, out);
     }
@@ -255,6 +255,30 @@
     membership.last_tick = now;
 }
 
+/// Takes a neighbour that nobody has a sign of for dead, and tells the own failure domain and a few
+/// hosts of each other one, in which gossip does the rest.
+void bury(control_state& state, const event& e, const host_id& id, effects& out)
+{
+    auto& m = state.membership.members.at(id);
+    // Others may know later beats of it than this host; it cannot have sent more than these.
+    m.beat += static_cast<std::uint64_t>((e.now - m.last_advance) / tick_interval);
+    state.membership.probed.erase(id);
+    mark_dead(state, e, id, m, out);
+    m.death_is_told = true;
+    auto message = make_message(state);
+    message.beats.push_back({id, m.life, m.beat, m.leaving, true, m.starting});
+    std::map<failure_domain_id, std::size_t> told;
+    for (const auto& [other, h] : state.fleet.text.hosts) {
+        const bool is_enough =
+            h.domain != state.self.domain && told[h.domain] >= hosts_told_of_death_elsewhere;
+        if (other != state.self.host && other != id && !is_enough) {
+            ++told[h.domain];
+            out.emplace_back(send_gossip_effect{h.peers, message});
+            out.emplace_back(send_gossip_effect{h.peers, message}); // One may get lost.
+        }
+    }
+}
+
 const endpoint* peer_endpoint(const control_state& state, const host_id& id)
 {
     const auto found = state.fleet.text.hosts.find(id);
@@ -263,13 +287,33 @@
 
 } // namespace
 
+gossip_message make_message(const control_state& state)
+{
+    gossip_message message;
+    message.from = state.self.host;
+    message.time = state.clock;
+    if (state.fleet.envelope) {
+        message.in_force = state.fleet.envelope->number;
+        message.fingerprint = state.fleet.fingerprint;
+    }
+    message.inventory = revisions_of(state.inventory);
+    message.confirmed = confirmation_ages(state, state.now);
+    // Where hosts are told to callers as soon as they are heard of, one that does not serve yet
+    // must not be. Elsewhere it counts from its first beat, since claims go by who is there.
+    const bool is_early = state.self.has_inventory && state.stage == life_stage::starting;
+    const bool leaving = state.stage == life_stage::leaving || state.stage == life_stage::ending;
+    message.beats.push_back(
+        {state.self.host, state.self.life, state.membership.own_beat, leaving, false, is_early});
+    return message;
+}
+
 void tick_membership(control_state& state, const event& e, effects& out)
 {
     const auto passed = e.now - state.membership.last_tick;
     forgive_own_pause(state.membership, e.now);
     ++state.membership.own_beat;
-    const auto near = near_timeout(near_hosts(state).size());
     const auto far = far_timeout(state.fleet.text.hosts.size());
+    const auto near = is_probed_domain(state) ? far : near_timeout(near_hosts(state).size());
     for (auto& [id, m] : state.membership.members) {
         const auto timeout = is_near(state, id) ? near : far;
         if (m.alive && e.now - m.last_advance > timeout) {
@@ -277,6 +321,9 @@
             m.death_is_told = is_near(state, id);
         }
     }
+    for (const auto& id : tick_probing(state, e.now, out)) {
+        bury(state, e, id, out);
+    }
     state.clock = advance(state.clock, e.wall);
     send_gossip(state, passed, out);
 }
@@ -284,36 +331,58 @@
 void take_gossip(control_state& state, const event& e, const gossip_message& message, effects& out)
 {
     state.clock = advance(state.clock, message.time, e.wall);
+    const auto* peer = peer_endpoint(state, message.from);
+    const auto& answer_to = peer != nullptr ? *peer : message.answer_to;
+    if (answer_to.port != 0) {
+        take_probe(state, e, message, answer_to, out);
+    }
     for (const auto& beat : message.beats) {
         take_beat(state, e, beat, out);
     }
-    const auto* peer = peer_endpoint(state, message.from);
     if (peer == nullptr) {
         return;
     }
     const auto own = state.fleet.envelope ? state.fleet.envelope->number : generation{};
-    if (message.in_force > own) {
+    if (message.in_force > own && e.now >= state.fleet.next_fetch) {
+        state.fleet.next_fetch = e.now + (state.self.has_inventory ? copy_patience : no_patience);
         out.emplace_back(fetch_fleet_effect{*peer});
     }
-    note_peer_revisions(state, e, message.inventory, *peer, out);
+    take_news(state, e, message, out);
+    note_peer_inventory(state, e, message, *peer, out);
 }
 
 void announce(control_state& state, effects& out)
 {
-    const auto message = make_message(state);
-    const bool to_all = state.fleet.text.hosts.size() <= max_hosts_told_at_once;
-    for (const auto& [id, h] : state.fleet.text.hosts) {
-        if (id != state.self.host && (to_all || is_near(state, id))) {
+    auto message = make_message(state);
+    message.news = state.inventory.news;
+    const auto& text = state.fleet.text;
+    const bool to_all = text.hosts.size() <= max_hosts_told_at_once;
+    const auto home = region_of(text, state.self.domain);
+    for (const auto& [id, h] : text.hosts) {
+        // The hosts of a region rely on its followers of the store.
+        const bool is_told = to_all || is_near(state, id) ||
+                             (state.self.has_inventory && region_of(text, h.domain) == home);
+        if (id != state.self.host && is_told) {
             out.emplace_back(send_gossip_effect{h.peers, message});
         }
     }
 }
 
+void tell(control_state& state, const std::vector<const host*>& hosts, effects& out)
+{
+    const auto message = make_message(state);
+    for (const auto* h : hosts) {
+        if (h->id != state.self.host) {
+            out.emplace_back(send_gossip_effect{h->peers, message});
+        }
+    }
+}
+
 std::set<host_id> live_hosts(const control_state& state)
 {
     std::set<host_id> live;
     for (const auto& [id, m] : state.membership.members) {
-        if (m.alive && !m.leaving) {
+        if (m.alive && !m.leaving && !m.starting) {
             live.insert(id);
         }
     }
--- a/source/control/membership.h
+++ b/source/control/membership.h
@@ -40,6 +40,12 @@
 /// Tells the near hosts, or all hosts of a small fleet, what is in force and known, at once.
 void announce(control_state& state, effects& out);
 
+/// What this host tells of itself: what it has, and its own beat.
+gossip_message make_message(const control_state& state);
+
+/// Tells these hosts what is in force and known.
+void tell(control_state& state, const std::vector<const host*>& hosts, effects& out);
+
 /// Live hosts that are not leaving, this one included while it serves.
 std::set<host_id> live_hosts(const control_state& state);
 
--- /dev/null
+++ b/source/control/peer_inventory.cpp
@@ -0,0 +1,400 @@
+#include "control/peer_inventory.h"
+
+#include "control/fleet_adoption.h"
+#include "control/inventory_changes.h"
+#include "control/inventory_items.h"
+#include "control/store_followers.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace almondquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// While a host starts it asks peers this often.
+constexpr milliseconds starting_question_pause{400};
+constexpr std::array asked_of_peers{inventory_kind::targets, inventory_kind::evacuations,
+                                    inventory_kind::hosts};
+/// Wall and steady clock drift apart by less than this between two ticks.
+constexpr milliseconds tolerated_drift{500};
+/// More than any revision: the peer sends nothing of that list.
+const store_revision all_known{std::numeric_limits<std::uint64_t>::max()};
+
+milliseconds time_left(monotonic_time until, monotonic_time now)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(until - now), milliseconds{0});
+}
+
+void add_target(const control_state& state, const listed_target& listed, monotonic_time now,
+                inventory_copy& copy)
+{
+    auto entry = listed.entry;
+    entry.cold_left = time_left(listed.cold_until, now);
+    const auto missing = state.inventory.missing.find(entry.what.id);
+    if (missing != state.inventory.missing.end()) {
+        const auto left = std::max(time_left(missing->second, now), milliseconds{1});
+        copy.gone.push_back({inventory_kind::targets, entry.what.id.value, left});
+    }
+    copy.targets.push_back(std::move(entry));
+}
+
+/// Adds what is known of one name now.
+void add_entry(const control_state& state, inventory_kind kind, const std::string& name,
+               monotonic_time now, inventory_copy& copy)
+{
+    const auto& inventory = state.inventory;
+    if (kind == inventory_kind::targets) {
+        if (const auto t = inventory.targets.find(target_id(name)); t != inventory.targets.end()) {
+            add_target(state, t->second, now, copy);
+            return;
+        }
+    } else if (kind == inventory_kind::hosts) {
+        if (const auto h = inventory.hosts.find(host_id(name)); h != inventory.hosts.end()) {
+            copy.hosts.push_back(h->second);
+            return;
+        }
+    } else if (inventory.evacuated.contains(failure_domain_id(name))) {
+        copy.evacuated.emplace_back(name);
+        return;
+    }
+    copy.gone.push_back({kind, name, milliseconds{0}});
+}
+
+std::set<std::string> all_names(const inventory_state& inventory, inventory_kind kind)
+{
+    std::set<std::string> names;
+    if (kind == inventory_kind::targets) {
+        for (const auto& [id, listed] : inventory.targets) {
+            names.insert(id.value);
+        }
+    } else if (kind == inventory_kind::hosts) {
+        for (const auto& [id, h] : inventory.hosts) {
+            names.insert(id.value);
+        }
+    } else {
+        for (const auto& domain : inventory.evacuated) {
+            names.insert(domain.value);
+        }
+    }
+    return names;
+}
+
+/// Whether a copy brings the list forward without leaving out changes in between.
+bool is_news(const inventory_list& list, const inventory_copy& copy, std::size_t i)
+{
+    const bool is_whole = copy.since.at(i).value == 0;
+    const bool is_newer = copy.at.at(i) > list.at || (!list.is_complete && copy.at.at(i).value > 0);
+    return is_newer && (is_whole || (list.is_complete && copy.since.at(i) <= list.at));
+}
+
+void take_entries(control_state& state, const event& e, inventory_kind kind,
+                  const inventory_copy& copy, effects& out)
+{
+    if (kind == inventory_kind::targets) {
+        for (const auto& t : copy.targets) {
+            take_target(state, e, t, out);
+        }
+    } else if (kind == inventory_kind::hosts) {
+        for (const auto& h : copy.hosts) {
+            take_host(state, h);
+        }
+    } else {
+        for (const auto& domain : copy.evacuated) {
+            note_evacuation(state, e, domain, true, out);
+        }
+    }
+    for (const auto& entry : copy.gone) {
+        if (entry.kind == kind) {
+            take_gone(state, e, kind, entry.name, entry.kept_for, out);
+        }
+    }
+}
+
+std::set<std::string> named(const inventory_copy& copy, inventory_kind kind)
+{
+    std::set<std::string> names;
+    if (kind == inventory_kind::targets) {
+        for (const auto& t : copy.targets) {
+            names.insert(t.what.id.value);
+        }
+    } else if (kind == inventory_kind::hosts) {
+        for (const auto& h : copy.hosts) {
+            names.insert(h.id.value);
+        }
+    } else {
+        for (const auto& domain : copy.evacuated) {
+            names.insert(domain.value);
+        }
+    }
+    return names;
+}
+
+void take_list(control_state& state, const event& e, inventory_kind kind,
+               const inventory_copy& copy, effects& out)
+{
+    const auto i = static_cast<std::size_t>(kind);
+    const bool is_whole = copy.since.at(i).value == 0;
+    take_entries(state, e, kind, copy, out);
+    auto names = named(copy, kind);
+    if (is_whole) {
+        for (const auto& name : all_names(state.inventory, kind)) {
+            if (!names.contains(name)) {
+                take_gone(state, e, kind, name, milliseconds{0}, out);
+            }
+        }
+    }
+    auto& list = state.inventory.lists.at(i);
+    list.at = copy.at.at(i);
+    list.changed = list.at;
+    list.is_complete = true;
+    list.behind_since = {};
+    if (is_whole) {
+        list.is_following = false; // The store's own list replaces the copy once it can be read.
+        list.page_after.clear();
+        list.seen.clear();
+        forget_changes(state.inventory, kind, list.at);
+    } else {
+        for (const auto& entry : copy.gone) {
+            if (entry.kind == kind) {
+                names.insert(entry.name);
+            }
+        }
+        for (const auto& name : names) {
+            note_change(state.inventory, kind, list.at, name);
+        }
+    }
+    list.call_running = false;
+    list.next_call = e.now + (list.failures == 0 ? milliseconds{0} : copy_patience);
+}
+
+bool is_behind(const inventory_list& list, store_revision theirs)
+{
+    return theirs.value != 0 && (!list.is_complete || theirs > list.at);
+}
+
+void ask_for_copy(control_state& state, const event& e, const endpoint& peer, effects& out)
+{
+    if (e.now < state.inventory.next_peer_question) {
+        return;
+    }
+    state.inventory.next_peer_question = e.now + copy_patience;
+    inventory_revisions have{};
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto& list = state.inventory.lists.at(i);
+        have.at(i) = list.is_complete ? list.at : store_revision{};
+    }
+    out.emplace_back(fetch_inventory_effect{peer, have});
+}
+
+void ask_seeds_for_hosts(const control_state& state, effects& out)
+{
+    inventory_revisions have;
+    have.fill(all_known);
+    have.at(static_cast<std::size_t>(inventory_kind::hosts)) = {};
+    for (const auto& seed : state.self.seeds) {
+        if (seed != state.self.registration.peers) {
+            out.emplace_back(fetch_inventory_effect{seed, have});
+        }
+    }
+}
+
+/// Mostly a host of the own region, so that many hosts that start spread over all that can help.
+const endpoint* random_peer(control_state& state)
+{
+    constexpr std::uint64_t far_turn = 4;
+    const auto region = [&](const failure_domain_id& domain) {
+        const auto found = state.self.domains.find(domain);
+        return found == state.self.domains.end() ? region_id{} : found->second;
+    };
+    const auto home = region(state.self.domain);
+    const bool is_far_turn = state.random() % far_turn == 0;
+    std::vector<const endpoint*> peers;
+    for (const auto& [id, h] : state.inventory.hosts) {
+        if (id != state.self.host && (is_far_turn || region(h.domain) == home)) {
+            peers.push_back(&h.peers);
+        }
+    }
+    return peers.empty() ? nullptr : peers[state.random() % peers.size()];
+}
+
+/// Whether this host followed the store at its latest tick.
+bool follows(const control_state& state)
+{
+    return state.inventory.own_rank < followers_per_region;
+}
+
+/// Whether this host reads the lists from the store at the moment.
+bool reads_lists(const control_state& state)
+{
+    return follows(state) && std::ranges::all_of(asked_of_peers, [&](const auto kind) {
+               const auto& list = list_of(state.inventory, kind);
+               return list.failures == 0 && (list.is_complete || list.call_running);
+           });
+}
+
+} // namespace
+
+inventory_revisions revisions_of(const inventory_state& inventory)
+{
+    inventory_revisions all{};
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto& list = inventory.lists.at(i);
+        all.at(i) = list.is_complete ? list.changed : store_revision{};
+    }
+    return all;
+}
+
+inventory_ages confirmation_ages(const control_state& state, monotonic_time now)
+{
+    inventory_ages ages;
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto confirmed = state.inventory.lists.at(i).confirmed;
+        const auto age = std::chrono::duration_cast<milliseconds>(now - confirmed);
+        ages.at(i) =
+            confirmed == monotonic_time{} ? never_confirmed : std::min(age, never_confirmed);
+    }
+    return ages;
+}
+
+inventory_copy copy_of(const control_state& state, const inventory_revisions& have,
+                       monotonic_time now)
+{
+    const auto& inventory = state.inventory;
+    inventory_copy copy;
+    copy.at = revisions_of(inventory);
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto kind = static_cast<inventory_kind>(i);
+        const bool has_news = copy.at.at(i) > have.at(i);
+        if (kind == inventory_kind::configuration || !has_news) {
+            copy.at.at(i) = {};
+            continue;
+        }
+        const bool as_changes = have.at(i).value != 0 && knows_changes(inventory, kind, have.at(i));
+        copy.since.at(i) = as_changes ? have.at(i) : store_revision{};
+        const auto names =
+            as_changes ? changed_names(inventory, kind, have.at(i)) : all_names(inventory, kind);
+        for (const auto& name : names) {
+            add_entry(state, kind, name, now, copy);
+        }
+    }
+    return copy;
+}
+
+void take_peer_inventory(control_state& state, const event& e, const peer_inventory_event& answer,
+                         effects& out)
+{
+    if (!succeeded(answer.copy)) {
+        return;
+    }
+    const auto& copy = value_of(answer.copy);
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto kind = static_cast<inventory_kind>(i);
+        const bool is_wanted =
+            kind != inventory_kind::configuration && is_news(state.inventory.lists.at(i), copy, i);
+        if (is_wanted) {
+            take_list(state, e, kind, copy, out);
+        }
+    }
+    start_serving_if_ready(state, e, out);
+}
+
+std::string news_of(const control_state& state, inventory_kind kind, store_revision since)
+{
+    inventory_revisions have;
+    have.fill(all_known);
+    have.at(static_cast<std::size_t>(kind)) = since;
+    const bool is_known = since.value != 0 && knows_changes(state.inventory, kind, since);
+    auto text = is_known ? encode(copy_of(state, have, state.now)) : std::string();
+    return text.size() <= max_news_bytes ? text : std::string();
+}
+
+void take_news(control_state& state, const event& e, const gossip_message& message, effects& out)
+{
+    if (message.news.empty() || !state.self.has_inventory || follows(state)) {
+        return;
+    }
+    take_peer_inventory(
+        state, e, peer_inventory_event{message.from.value, decode_inventory_copy(message.news)},
+        out);
+}
+
+void note_peer_inventory(control_state& state, const event& e, const gossip_message& message,
+                         const endpoint& peer, effects& out)
+{
+    if (!state.self.has_inventory) {
+        return;
+    }
+    auto& inventory = state.inventory;
+    bool wants_copy = false;
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        auto& list = inventory.lists.at(i);
+        const bool is_configuration =
+            static_cast<inventory_kind>(i) == inventory_kind::configuration;
+        const bool lacks_text =
+            !state.fleet.envelope || message.in_force > state.fleet.envelope->number;
+        const bool behind =
+            is_configuration ? lacks_text : is_behind(list, message.inventory.at(i));
+        const bool is_told =
+            message.confirmed.at(i) < never_confirmed &&
+            (is_configuration ? message.in_force.value != 0 : message.inventory.at(i).value != 0);
+        if (!behind && is_told) {
+            list.confirmed = std::max(list.confirmed, e.now - message.confirmed.at(i));
+        }
+        if (is_behind(list, message.inventory.at(i)) && list.behind_since == monotonic_time{}) {
+            list.behind_since = e.now;
+        }
+        const bool can_read =
+            follows(state) && list.failures == 0 &&
+            (list.is_complete ? state.fleet.platform_reachable : list.call_running);
+        wants_copy = wants_copy || (!is_configuration && behind && !can_read);
+    }
+    if (wants_copy) {
+        ask_for_copy(state, e, peer, out);
+    }
+}
+
+void ask_peers_while_starting(control_state& state, const event& e, effects& out)
+{
+    auto& inventory = state.inventory;
+    const bool lacks_lists = std::ranges::any_of(
+        asked_of_peers, [&](const auto kind) { return !list_of(inventory, kind).is_complete; });
+    const bool lacks_something = lacks_lists || !state.fleet.envelope;
+    if (state.stage != life_stage::starting || !lacks_something ||
+        e.now < inventory.next_starting_question) {
+        return;
+    }
+    inventory.next_starting_question = e.now + starting_question_pause;
+    if (!list_of(inventory, inventory_kind::hosts).is_complete) {
+        ask_seeds_for_hosts(state, out);
+        return;
+    }
+    const auto* peer = random_peer(state);
+    if (peer == nullptr) {
+        return;
+    }
+    if (lacks_lists && !reads_lists(state)) {
+        ask_for_copy(state, e, *peer, out);
+    }
+    if (!state.fleet.envelope) {
+        out.emplace_back(fetch_fleet_effect{*peer});
+    }
+}
+
+void drop_confirmations_after_suspension(control_state& state, const event& e)
+{
+    const auto steady = e.now - state.membership.last_tick;
+    const auto wall = e.wall - state.membership.last_wall_tick;
+    const bool is_first = state.membership.last_tick == monotonic_time{};
+    state.membership.last_wall_tick = e.wall;
+    if (is_first || std::chrono::abs(wall - steady) < tolerated_drift) {
+        return;
+    }
+    for (auto& list : state.inventory.lists) {
+        list.confirmed = {};
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/control/probing.cpp
@@ -0,0 +1,179 @@
+#include "control/probing.h"
+
+#include "control/membership.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace almondquay {
+
+namespace {
+
+std::uint64_t ring_place(const host_id& id)
+{
+    constexpr std::uint64_t seed = 0x52494e47; // Unlike that of other rankings.
+    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), seed);
+}
+
+bool is_taken_for_dead(const control_state& state, const host_id& id)
+{
+    const auto found = state.membership.members.find(id);
+    return found != state.membership.members.end() && !found->second.alive;
+}
+
+/// The other hosts of the failure domain that are not dead, from the next one in the ring on.
+std::vector<const host*> neighbours(const control_state& state)
+{
+    const auto own = ring_place(state.self.host);
+    std::vector<const host*> ring;
+    for (const auto* h : hosts_of(state.fleet.text, state.self.domain)) {
+        if (h->id != state.self.host && !is_taken_for_dead(state, h->id)) {
+            ring.push_back(h);
+        }
+    }
+    std::ranges::sort(ring, {}, [&](const host* h) { return ring_place(h->id) - own; });
+    return ring;
+}
+
+member_beat known_beat(const control_state& state, const host_id& id)
+{
+    const auto found = state.membership.members.find(id);
+    member_beat known;
+    known.id = id;
+    if (found != state.membership.members.end()) {
+        const auto& m = found->second;
+        known = {id, m.life, m.beat, m.leaving, !m.alive, m.starting};
+    }
+    return known;
+}
+
+void ask_for_sign(control_state& state, const host& neighbour, effects& out)
+{
+    auto message = make_message(state);
+    message.wants_answer = true;
+    message.answer_to = state.self.registration.peers;
+    out.emplace_back(send_gossip_effect{neighbour.peers, std::move(message)});
+}
+
+/// Asks a few others about a silent neighbour.
+void ask_to_refute(control_state& state, const host& silent, const std::vector<const host*>& ring,
+                   effects& out)
+{
+    std::vector<const host*> others;
+    std::ranges::copy_if(ring, std::back_inserter(others),
+                         [&](const host* h) { return h->id != silent.id; });
+    std::ranges::shuffle(others, state.random);
+    others.resize(std::min(others.size(), hosts_asked_to_refute));
+    auto message = make_message(state);
+    message.answer_to = state.self.registration.peers;
+    message.suspects.push_back(known_beat(state, silent.id));
+    for (const auto* h : others) {
+        out.emplace_back(send_gossip_effect{h->peers, message});
+    }
+}
+
+/// Forgets neighbours that are not asked any more.
+void keep_only(std::map<host_id, probed_host>& probed, const std::set<host_id>& asked)
+{
+    std::erase_if(probed, [&](const auto& entry) { return !asked.contains(entry.first); });
+}
+
+void answer_suspicion(control_state& state, const event& e, const member_beat& suspected,
+                      const endpoint& asker, effects& out)
+{
+    if (suspected.id == state.self.host) {
+        out.emplace_back(send_gossip_effect{asker, make_message(state)});
+        return;
+    }
+    const auto found = state.fleet.text.hosts.find(suspected.id);
+    if (found != state.fleet.text.hosts.end()) {
+        state.membership.asked_about[suspected.id] = {asker, e.now + refutation_time};
+        ask_for_sign(state, found->second, out);
+    }
+}
+
+} // namespace
+
+bool is_probed_domain(const control_state& state)
+{
+    return hosts_of(state.fleet.text, state.self.domain).size() >= min_probed_hosts;
+}
+
+std::vector<host_id> tick_probing(control_state& state, monotonic_time now, effects& out)
+{
+    auto& membership = state.membership;
+    std::vector<host_id> dead;
+    std::set<host_id> asked;
+    std::erase_if(membership.asked_about,
+                  [&](const auto& entry) { return now >= entry.second.until; });
+    if (!is_probed_domain(state)) {
+        membership.probed.clear();
+        return dead;
+    }
+    const auto ring = neighbours(state);
+    for (const auto* h : ring) {
+        if (asked.size() >= max_neighbours_asked) {
+            break;
+        }
+        asked.insert(h->id);
+        auto& p = membership.probed[h->id];
+        if (p.silent_since == monotonic_time{}) {
+            p.silent_since = now;
+        }
+        if (now - p.last_question >= probe_interval) {
+            p.last_question = now;
+            ask_for_sign(state, *h, out);
+        }
+        if (!state.membership.members.contains(h->id)) {
+            continue; // Never heard of: it may not have started yet.
+        }
+        const auto silence = now - p.silent_since;
+        const bool is_suspected = p.suspected_at != monotonic_time{};
+        if (is_suspected && now - p.suspected_at >= refutation_time) {
+            dead.push_back(h->id);
+        } else if (!is_suspected && silence >= silence_before_suspicion) {
+            p.suspected_at = now;
+            ask_to_refute(state, *h, ring, out);
+        }
+        if (silence < neighbour_patience) {
+            break;
+        }
+    }
+    keep_only(membership.probed, asked);
+    return dead;
+}
+
+void take_probe(control_state& state, const event& e, const gossip_message& message,
+                const endpoint& peer, effects& out)
+{
+    auto& membership = state.membership;
+    if (message.wants_answer) {
+        out.emplace_back(send_gossip_effect{peer, make_message(state)});
+    }
+    for (const auto& suspected : message.suspects) {
+        answer_suspicion(state, e, suspected, peer, out);
+    }
+    if (const auto probed = membership.probed.find(message.from);
+        probed != membership.probed.end()) {
+        probed->second.silent_since = e.now;
+        probed->second.suspected_at = {};
+    }
+    for (const auto& beat : message.beats) {
+        const auto probed = membership.probed.find(beat.id);
+        if (beat.direct && probed != membership.probed.end()) {
+            probed->second.silent_since = e.now;
+            probed->second.suspected_at = {};
+        }
+    }
+    if (const auto about = membership.asked_about.find(message.from);
+        about != membership.asked_about.end() && !message.beats.empty()) {
+        auto told = make_message(state);
+        told.beats.push_back(message.beats.front());
+        told.beats.back().direct = true;
+        out.emplace_back(send_gossip_effect{about->second.asker, std::move(told)});
+        membership.asked_about.erase(about);
+    }
+}
+
+} // namespace almondquay
--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -6,6 +6,7 @@
 #include "control/fleet_adoption.h"
 #include "control/inventory_sync.h"
 #include "control/membership.h"
+#include "control/peer_inventory.h"
 #include "control/quarantine.h"
 #include "control/snapshot_builder.h"
 #include "control/target_health.h"
@@ -64,6 +65,7 @@
 
 void tick(control_state& state, const event& e, effects& out)
 {
+    drop_confirmations_after_suspension(state, e);
     tick_membership(state, e, out);
     tick_fleet(state, e, out);
     tick_inventory(state, e, out);
@@ -87,6 +89,10 @@
 effects reduce(control_state& state, const event& e)
 {
     effects out;
+    state.now = e.now;
+    if (state.started == monotonic_time{}) {
+        state.started = e.now;
+    }
     std::visit(
         overloaded{
             [&](const tick_event&) { tick(state, e, out); },
--- a/source/control/snapshot_builder.cpp
+++ b/source/control/snapshot_builder.cpp
@@ -67,7 +67,9 @@
         route.domain = t.domain;
         route.in_region = region_of(text, t.domain);
         route.cold_until = state.inventory.targets.at(id).cold_until;
-        route.cold_per_second = cold_share(state, t);
+        if (route.cold_until > state.now) {
+            route.cold_per_second = cold_share(state, t);
+        }
         route.usable = !t.leaving && !world.dead_targets.contains(id) &&
                        !state.inventory.evacuated.contains(t.domain);
         auto& of_service = snapshot.services[t.serves.value];
--- /dev/null
+++ b/source/control/store_followers.cpp
@@ -0,0 +1,167 @@
+#include "control/store_followers.h"
+
+#include "control/membership.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace almondquay {
+
+namespace {
+
+std::uint64_t hash_of(const host_id& id)
+{
+    return XXH3_64bits(id.value.data(), id.value.size());
+}
+
+bool is_candidate(const control_state& state, const host_id& id, monotonic_time now)
+{
+    if (id == state.self.host) {
+        return state.stage == life_stage::starting || state.stage == life_stage::serving;
+    }
+    const auto found = state.membership.members.find(id);
+    if (found == state.membership.members.end()) {
+        // Beats of far hosts take as long as their deaths.
+        return now - state.started < far_timeout(state.inventory.hosts.size());
+    }
+    return found->second.alive && !found->second.leaving;
+}
+
+struct candidate {
+    const host* who = nullptr;
+    std::uint64_t hash = 0;
+    std::size_t place_in_domain = 0; ///< 0: the best of its failure domain
+};
+
+region_id region_in(const control_state& state, const failure_domain_id& domain)
+{
+    const auto found = state.self.domains.find(domain);
+    return found == state.self.domains.end() ? region_id{} : found->second;
+}
+
+/// The live hosts of a region, first those that are the best of their failure domain.
+std::vector<candidate> ranked(const control_state& state, const region_id& region,
+                              monotonic_time now)
+{
+    std::vector<candidate> all;
+    for (const auto& [id, h] : state.inventory.hosts) {
+        if (region_in(state, h.domain) == region && is_candidate(state, id, now)) {
+            all.push_back({&h, hash_of(id), 0});
+        }
+    }
+    std::ranges::sort(all, [](const candidate& a, const candidate& b) {
+        return a.who->weight != b.who->weight ? a.who->weight > b.who->weight : a.hash < b.hash;
+    });
+    std::map<failure_domain_id, std::size_t> seen;
+    for (auto& c : all) {
+        c.place_in_domain = seen[c.who->domain]++;
+    }
+    std::ranges::stable_sort(all, {}, &candidate::place_in_domain);
+    return all;
+}
+
+std::vector<candidate> ranked_at_home(const control_state& state, monotonic_time now)
+{
+    return ranked(state, region_in(state, state.self.domain), now);
+}
+
+std::set<region_id> other_regions(const control_state& state)
+{
+    std::set<region_id> regions;
+    for (const auto& [domain, region] : state.self.domains) {
+        regions.insert(region);
+    }
+    regions.erase(region_in(state, state.self.domain));
+    return regions;
+}
+
+/// How old a confirmation may be before the first heir asks the store itself.
+std::chrono::milliseconds takeover_age(const control_state& state, inventory_kind kind)
+{
+    switch (kind) {
+    case inventory_kind::configuration:
+    case inventory_kind::targets:
+        return state.self.news_within - takeover_margin;
+    case inventory_kind::evacuations:
+        return evacuation_takeover_age;
+    case inventory_kind::hosts:
+        break;
+    }
+    return host_takeover_age;
+}
+
+bool is_seed(const control_state& state)
+{
+    return state.self.seeds.empty() ||
+           std::ranges::find(state.self.seeds, state.self.registration.peers) !=
+               state.self.seeds.end();
+}
+
+} // namespace
+
+std::size_t rank_in_region(const control_state& state, monotonic_time now)
+{
+    const auto all = ranked_at_home(state, now);
+    const auto self =
+        std::ranges::find_if(all, [&](const candidate& c) { return c.who->id == state.self.host; });
+    return static_cast<std::size_t>(self - all.begin());
+}
+
+bool follows_store(const control_state& state, monotonic_time now)
+{
+    return rank_in_region(state, now) < followers_per_region;
+}
+
+bool may_ask_store(const control_state& state, inventory_kind kind, monotonic_time now)
+{
+    if (!list_of(state.inventory, inventory_kind::hosts).is_complete) {
+        const bool is_alone = now - state.started >= seed_patience;
+        return is_seed(state) || (kind == inventory_kind::hosts && is_alone);
+    }
+    const auto rank = state.inventory.own_rank;
+    if (rank < followers_per_region) {
+        return true;
+    }
+    const auto confirmed = std::max(list_of(state.inventory, kind).confirmed, state.started);
+    const auto later = takeover_step * static_cast<int>(rank - followers_per_region);
+    return now - confirmed >= takeover_age(state, kind) + later;
+}
+
+std::vector<const host*> heirs(const control_state& state, monotonic_time now)
+{
+    std::vector<const host*> next;
+    const auto all = ranked_at_home(state, now);
+    const auto end = std::min(all.size(), followers_per_region + heirs_per_region);
+    for (auto i = followers_per_region; i < end; ++i) {
+        next.push_back(all[i].who);
+    }
+    std::vector<std::vector<candidate>> others;
+    for (const auto& region : other_regions(state)) {
+        others.push_back(ranked(state, region, now));
+    }
+    for (std::size_t i = followers_per_region; next.size() < max_heirs_told; ++i) {
+        const auto before = next.size();
+        for (const auto& hosts : others) {
+            if (i < hosts.size() && next.size() < max_heirs_told) {
+                next.push_back(hosts[i].who);
+            }
+        }
+        if (next.size() == before) {
+            break;
+        }
+    }
+    return next;
+}
+
+follower_place place_among_followers(const control_state& state)
+{
+    auto regions = other_regions(state);
+    const auto home = region_in(state, state.self.domain);
+    regions.insert(home);
+    const auto rank = std::min(state.inventory.own_rank, followers_per_region - 1);
+    const auto index = static_cast<std::size_t>(std::distance(regions.begin(), regions.find(home)));
+    return {rank * regions.size() + index, followers_per_region * regions.size()};
+}
+
+} // namespace almondquay
--- a/source/peer/gossip_message.cpp
+++ b/source/peer/gossip_message.cpp
@@ -1,5 +1,7 @@
 #include "peer/gossip_message.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace almondquay {
@@ -10,21 +12,61 @@
 
 constexpr std::size_t signature_length = 32;
 
+constexpr unsigned leaving_flag = 1;
+constexpr unsigned dead_flag = 2;
+constexpr unsigned starting_flag = 4;
+constexpr unsigned direct_flag = 8;
+
+unsigned flags_of(const member_beat& b)
+{
+    return (b.leaving ? leaving_flag : 0) | (b.dead ? dead_flag : 0) |
+           (b.starting ? starting_flag : 0) | (b.direct ? direct_flag : 0);
+}
+
+json encode_beats(const std::vector<member_beat>& beats)
+{
+    json rows = json::array();
+    for (const auto& b : beats) {
+        rows.push_back(json::array({b.id.value, b.life.value, b.beat, flags_of(b)}));
+    }
+    return rows;
+}
+
+std::vector<member_beat> decode_beats(const json& rows)
+{
+    std::vector<member_beat> beats;
+    for (const auto& value : rows) {
+        member_beat beat;
+        beat.id.value = value.at(0).get<std::string>();
+        beat.life.value = value.at(1).get<std::uint64_t>();
+        beat.beat = value.at(2).get<std::uint64_t>();
+        const auto flags = value.at(3).get<unsigned>();
+        beat.leaving = (flags & leaving_flag) != 0;
+        beat.dead = (flags & dead_flag) != 0;
+        beat.starting = (flags & starting_flag) != 0;
+        beat.direct = (flags & direct_flag) != 0;
+        beats.push_back(std::move(beat));
+    }
+    return beats;
+}
+
 } // namespace
 
 std::string encode(const gossip_message& message, const shared_secret& secret)
 {
-    json beats = json::array();
-    for (const auto& b : message.beats) {
-        beats.push_back(json::array({b.id.value, b.life.value, b.beat, b.leaving, b.dead}));
-    }
     json inventory = json::array();
     for (const auto& revision : message.inventory) {
         inventory.push_back(revision.value);
     }
-    const json whole = json::array({message.from.value, message.time.wall_ms, message.time.counter,
-                                    message.in_force.value, message.fingerprint, std::move(beats),
-                                    std::move(inventory)});
+    json confirmed = json::array();
+    for (const auto& age : message.confirmed) {
+        confirmed.push_back(age.count());
+    }
+    const json whole = json::array(
+        {message.from.value, message.time.wall_ms, message.time.counter, message.in_force.value,
+         message.fingerprint, encode_beats(message.beats), std::move(inventory),
+         std::move(confirmed), message.wants_answer, encode_beats(message.suspects),
+         message.answer_to.address, message.answer_to.port, message.news});
     const auto bytes = json::to_cbor(whole);
     std::string body(bytes.begin(), bytes.end());
     return sign(secret, body) + body;
@@ -47,17 +89,17 @@
         message.time.counter = whole.at(2).get<std::uint32_t>();
         message.in_force.value = whole.at(3).get<std::uint64_t>();
         message.fingerprint = whole.at(4).get<std::uint64_t>();
-        for (const auto& value : whole.at(5)) {
-            member_beat beat;
-            beat.id.value = value.at(0).get<std::string>();
-            beat.life.value = value.at(1).get<std::uint64_t>();
-            beat.beat = value.at(2).get<std::uint64_t>();
-            beat.leaving = value.at(3).get<bool>();
-            beat.dead = value.at(4).get<bool>();
-            message.beats.push_back(std::move(beat));
-        }
+        message.beats = decode_beats(whole.at(5));
+        message.wants_answer = whole.at(8).get<bool>();
+        message.suspects = decode_beats(whole.at(9));
+        message.answer_to.address = whole.at(10).get<std::string>();
+        message.answer_to.port = whole.at(11).get<std::uint16_t>();
+        message.news = whole.at(12).get<std::string>();
         for (std::size_t i = 0; i < inventory_kinds; ++i) {
             message.inventory.at(i).value = whole.at(6).at(i).get<std::uint64_t>();
+            const std::chrono::milliseconds age(whole.at(7).at(i).get<std::int64_t>());
+            message.confirmed.at(i) =
+                std::clamp(age, std::chrono::milliseconds{0}, never_confirmed);
         }
         return message;
     } catch (const json::exception& problem) {
--- a/source/peer/gossip_message.h
+++ b/source/peer/gossip_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/authentication.h"
+#include "common/endpoint.h"
 #include "common/hybrid_clock.h"
 #include "common/result.h"
 #include "common/strong_type.h"
@@ -20,7 +21,9 @@
     incarnation life;
     std::uint64_t beat = 0;
     bool leaving = false;
-    bool dead = false; ///< nothing newer than this beat has come in time
+    bool dead = false;     ///< nothing newer than this beat has come in time
+    bool starting = false; ///< does not serve yet
+    bool direct = false;   ///< the sender has just heard it from the host itself
 
     bool operator==(const member_beat&) const = default;
 };
@@ -32,6 +35,12 @@
     std::uint64_t fingerprint = 0; ///< of the envelope in force
     std::vector<member_beat> beats;
     inventory_revisions inventory{}; ///< up to which the sender knows the store's lists
+    /// How long ago each list, as the sender has it, was confirmed; not before `never_confirmed`.
+    inventory_ages confirmed{never_confirmed, never_confirmed, never_confirmed, never_confirmed};
+    bool wants_answer = false;           ///< the sender wants a sign of life
+    std::string news{};                  ///< an encoded inventory_copy of the latest changes
+    endpoint answer_to{};                ///< of a sender that wants something of the receiver
+    std::vector<member_beat> suspects{}; ///< silent hosts; who has newer beats of them is to say so
 
     bool operator==(const gossip_message&) const = default;
 };
@@ -39,6 +48,8 @@
 /// Datagrams stay below the usual path MTU less headers; a longer list is cut by the sender.
 constexpr std::size_t max_datagram_bytes = 1'400;
 constexpr std::size_t max_beats_per_message = 24;
+/// Longer news are asked for.
+constexpr std::size_t max_news_bytes = 900;
 
 /// Signed CBOR. The signature covers all that follows it.
 std::string encode(const gossip_message& message, const shared_secret& secret);
--- a/source/peer/inventory_copy.cpp
+++ b/source/peer/inventory_copy.cpp
@@ -1,5 +1,7 @@
 #include "peer/inventory_copy.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace almondquay {
@@ -8,20 +10,40 @@
 
 using json = nlohmann::json;
 
-json encode_target(const registered_target& t)
+/// Names that rows repeat are written once and referred to by their place.
+struct name_table {
+    json names = json::array();
+
+    std::size_t place_of(const std::string& name)
+    {
+        const auto found = std::ranges::find(names, json(name));
+        if (found != names.end()) {
+            return static_cast<std::size_t>(found - names.begin());
+        }
+        names.push_back(name);
+        return names.size() - 1;
+    }
+};
+
+std::string name_at(const json& names, const json& place)
 {
-    return json::array({t.what.id.value, t.what.serves.value, t.what.domain.value,
-                        t.what.address.address, t.what.address.port, t.what.slots.value,
-                        t.what.checks_identity, t.what.life.value, t.what.leaving,
-                        t.cold_left.count()});
+    return names.at(place.get<std::size_t>()).get<std::string>();
 }
 
-registered_target decode_target(const json& row)
+json encode_target(const registered_target& t, name_table& names)
+{
+    return json::array({t.what.id.value, names.place_of(t.what.serves.value),
+                        names.place_of(t.what.domain.value), t.what.address.address,
+                        t.what.address.port, t.what.slots.value, t.what.checks_identity,
+                        t.what.life.value, t.what.leaving, t.cold_left.count()});
+}
+
+registered_target decode_target(const json& row, const json& names)
 {
     registered_target t;
     t.what.id.value = row.at(0).get<std::string>();
-    t.what.serves.value = row.at(1).get<std::string>();
-    t.what.domain.value = row.at(2).get<std::string>();
+    t.what.serves.value = name_at(names, row.at(1));
+    t.what.domain.value = name_at(names, row.at(2));
     t.what.address.address = row.at(3).get<std::string>();
     t.what.address.port = row.at(4).get<std::uint16_t>();
     t.what.slots.value = row.at(5).get<std::uint32_t>();
@@ -32,62 +54,120 @@
     return t;
 }
 
-json encode_host(const host& h)
+json encode_host(const host& h, name_table& names)
 {
-    return json::array({h.id.value, h.domain.value, h.callers.address, h.callers.port,
-                        h.peers.address, h.peers.port});
+    return json::array({h.id.value, names.place_of(h.domain.value), h.callers.address,
+                        h.callers.port, h.peers.address, h.peers.port, h.weight});
 }
 
-host decode_host(const json& row)
+host decode_host(const json& row, const json& names)
 {
     return {host_id(row.at(0).get<std::string>()),
-            failure_domain_id(row.at(1).get<std::string>()),
+            failure_domain_id(name_at(names, row.at(1))),
             {row.at(2).get<std::string>(), row.at(3).get<std::uint16_t>()},
-            {row.at(4).get<std::string>(), row.at(5).get<std::uint16_t>()}};
+            {row.at(4).get<std::string>(), row.at(5).get<std::uint16_t>()},
+            row.at(6).get<double>()};
+}
+
+json to_json(const inventory_revisions& revisions)
+{
+    json all = json::array();
+    for (const auto& revision : revisions) {
+        all.push_back(revision.value);
+    }
+    return all;
+}
+
+inventory_revisions to_revisions(const json& all)
+{
+    inventory_revisions revisions{};
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        revisions.at(i).value = all.at(i).get<std::uint64_t>();
+    }
+    return revisions;
+}
+
+gone_entry decode_gone(const json& row)
+{
+    const auto kind = row.at(0).get<std::size_t>();
+    if (kind >= inventory_kinds) {
+        throw json::other_error::create(0, "no such list", nullptr);
+    }
+    return {static_cast<inventory_kind>(kind), row.at(1).get<std::string>(),
+            std::chrono::milliseconds(row.at(2).get<std::int64_t>())};
+}
+
+inventory_copy decode_whole(const json& whole)
+{
+    inventory_copy copy;
+    copy.at = to_revisions(whole.at("at"));
+    copy.since = to_revisions(whole.at("since"));
+    const auto& names = whole.at("names");
+    for (const auto& row : whole.at("targets")) {
+        copy.targets.push_back(decode_target(row, names));
+    }
+    for (const auto& row : whole.at("hosts")) {
+        copy.hosts.push_back(decode_host(row, names));
+    }
+    for (const auto& domain : whole.at("evacuated")) {
+        copy.evacuated.emplace_back(domain.get<std::string>());
+    }
+    for (const auto& row : whole.at("gone")) {
+        copy.gone.push_back(decode_gone(row));
+    }
+    return copy;
 }
 
 } // namespace
 
 std::string encode(const inventory_copy& copy)
 {
-    json at = json::array();
-    for (const auto& revision : copy.at) {
-        at.push_back(revision.value);
-    }
+    name_table names;
     json targets = json::array();
     for (const auto& t : copy.targets) {
-        targets.push_back(encode_target(t));
+        targets.push_back(encode_target(t, names));
     }
     json hosts = json::array();
     for (const auto& h : copy.hosts) {
-        hosts.push_back(encode_host(h));
+        hosts.push_back(encode_host(h, names));
     }
     json evacuated = json::array();
     for (const auto& domain : copy.evacuated) {
         evacuated.push_back(domain.value);
     }
-    return json{{"at", at}, {"targets", targets}, {"hosts", hosts}, {"evacuated", evacuated}}
+    json gone = json::array();
+    for (const auto& entry : copy.gone) {
+        gone.push_back(json::array(
+            {static_cast<std::size_t>(entry.kind), entry.name, entry.kept_for.count()}));
+    }
+    return json{{"at", to_json(copy.at)},          {"since", to_json(copy.since)},
+                {"names", std::move(names.names)}, {"targets", std::move(targets)},
+                {"hosts", std::move(hosts)},       {"evacuated", std::move(evacuated)},
+                {"gone", std::move(gone)}}
         .dump();
 }
 
 result<inventory_copy> decode_inventory_copy(std::string_view text)
 {
     try {
-        const auto whole = json::parse(text);
-        inventory_copy copy;
-        for (std::size_t i = 0; i < inventory_kinds; ++i) {
-            copy.at.at(i).value = whole.at("at").at(i).get<std::uint64_t>();
-        }
-        for (const auto& row : whole.at("targets")) {
-            copy.targets.push_back(decode_target(row));
-        }
-        for (const auto& row : whole.at("hosts")) {
-            copy.hosts.push_back(decode_host(row));
-        }
-        for (const auto& domain : whole.at("evacuated")) {
-            copy.evacuated.emplace_back(domain.get<std::string>());
-        }
-        return copy;
+        return decode_whole(json::parse(text));
+    } catch (const json::exception& problem) {
+        return error{result_code::peer_message_malformed, problem.what()};
+    }
+}
+
+std::string encode(const inventory_revisions& have)
+{
+    return to_json(have).dump();
+}
+
+result<inventory_revisions> decode_inventory_revisions(std::string_view text)
+{
+    if (text.empty()) {
+        return inventory_revisions{};
+    }
+    try {
+        return to_revisions(json::parse(text));
     } catch (const json::exception& problem) {
         return error{result_code::peer_message_malformed, problem.what()};
     }
--- a/source/store/inventory.h
+++ b/source/store/inventory.h
@@ -23,6 +23,10 @@
 /// For each kind, the revision up to which its list is known; 0 while it is not.
 using inventory_revisions = std::array<store_revision, inventory_kinds>;
 
+/// For each kind, how long ago its list was known to be whole.
+using inventory_ages = std::array<std::chrono::milliseconds, inventory_kinds>;
+constexpr std::chrono::milliseconds never_confirmed{60'000};
+
 /// "configuration", "targets", "evacuated domains" or "hosts".
 std::string_view name_of(inventory_kind kind);
 
--- /dev/null
+++ b/unit_tests/control/probing_test.cpp
@@ -0,0 +1,127 @@
+#include "control/probing.h"
+#include "control/store_world.h"
+
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace almondquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds warm_up{10};
+constexpr milliseconds known_at_home_within{3'000};
+constexpr milliseconds known_elsewhere_within{8'000};
+
+const failure_domain_id& domain_of(const store_world& world, const host_id& id)
+{
+    return world.state_of(id).self.domain;
+}
+
+/// Whether `at` takes `who` for alive.
+bool believes_alive(const store_world& world, const host_id& at, const host_id& who)
+{
+    const auto& members = world.state_of(at).membership.members;
+    const auto found = members.find(who);
+    return found != members.end() && found->second.alive;
+}
+
+/// Live hosts that take `who` for alive, in its failure domain or elsewhere.
+std::size_t believers(const store_world& world, const host_id& who, bool at_home)
+{
+    const auto all = world.hosts();
+    return static_cast<std::size_t>(std::ranges::count_if(all, [&](const host_id& at) {
+        const bool is_home = domain_of(world, at) == domain_of(world, who);
+        return at != who && !world.has_fault(at) && is_home == at_home &&
+               believes_alive(world, at, who);
+    }));
+}
+
+/// Pairs of hosts without a fault of which one takes the other for dead.
+std::size_t false_deaths(const store_world& world)
+{
+    std::size_t count = 0;
+    for (const auto& at : world.hosts()) {
+        for (const auto& [id, m] : world.state_of(at).membership.members) {
+            const bool is_false = !m.alive && !world.has_fault(id) && !world.has_fault(at);
+            count += is_false ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+void play_death(std::size_t domains_per_region, std::size_t hosts_per_domain, double loss)
+{
+    store_world world({3, domains_per_region, hosts_per_domain, loss, 11, milliseconds(3'000)});
+    world.run_for(warm_up);
+    const auto dead = world.hosts().at(hosts_per_domain / 2);
+    world.set_fault(dead, host_fault::dead);
+    world.run_for(known_at_home_within);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, believers(world, dead, true));
+    world.run_for(known_elsewhere_within - known_at_home_within);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, believers(world, dead, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, false_deaths(world));
+}
+
+} // namespace
+
+class probing_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(probing_test);
+    CPPUNIT_TEST(a_death_is_known_soon_in_large_domains);
+    CPPUNIT_TEST(a_death_is_known_soon_over_lossy_paths);
+    CPPUNIT_TEST(many_deaths_at_once_are_known_soon);
+    CPPUNIT_TEST(no_live_host_is_taken_for_dead);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_death_is_known_soon_in_large_domains()
+    {
+        play_death(2, 11, 0);
+        play_death(3, 22, 0);
+    }
+
+    void a_death_is_known_soon_over_lossy_paths()
+    {
+        play_death(2, 11, 0.05);
+        play_death(3, 22, 0.05);
+    }
+
+    /// Half of the hosts of a failure domain die together, so that neighbours die with those who
+    /// would miss them.
+    void many_deaths_at_once_are_known_soon()
+    {
+        store_world world({3, 2, 12, 0.01, 3, milliseconds(3'000)});
+        world.run_for(warm_up);
+        const auto all = world.hosts();
+        std::vector<host_id> dead;
+        for (std::size_t i = 0; i < 12; i += 2) {
+            dead.push_back(all.at(i));
+            world.set_fault(all.at(i), host_fault::dead);
+        }
+        world.run_for(known_elsewhere_within);
+        for (const auto& id : dead) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, believers(world, id, true));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, false_deaths(world));
+    }
+
+    void no_live_host_is_taken_for_dead()
+    {
+        for (const double loss : {0.0, 0.1}) {
+            store_world world({3, 2, 12, loss, 5, milliseconds(3'000)});
+            for (int i = 0; i < 90; ++i) {
+                world.run_for(seconds(1));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("loss " + std::to_string(loss) + ", at s " +
+                                                 std::to_string(i),
+                                             std::size_t{0}, false_deaths(world));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(probing_test);
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/control/store_followers_test.cpp
@@ -0,0 +1,239 @@
+#include "control/store_followers.h"
+#include "control/store_world.h"
+
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace almondquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds warm_up{8};
+
+bool knows_target(const control_state& state, const std::string& name)
+{
+    return state.inventory.targets.contains(target_id(name));
+}
+
+/// Whether all hosts without a fault fulfil the condition.
+bool all_sound(const store_world& world, const std::function<bool(const control_state&)>& condition)
+{
+    return std::ranges::all_of(world.hosts(), [&](const host_id& id) {
+        return world.has_fault(id) || condition(world.state_of(id));
+    });
+}
+
+bool is_up_to_date(const store_world& world, std::uint64_t configuration, const std::string& target,
+                   const std::string& gone)
+{
+    return all_sound(world, [&](const control_state& state) {
+        return state.fleet.envelope && state.fleet.envelope->number.value == configuration &&
+               knows_target(state, target) && !knows_target(state, gone);
+    });
+}
+
+/// Changes one target, deletes another and changes the configuration, all at once.
+void change_all(store_world& world)
+{
+    world.put_target("new");
+    world.delete_target("old");
+    world.put_configuration(2);
+}
+
+store_world make_world(store_world_settings settings = {})
+{
+    store_world world(settings);
+    world.put_target("old");
+    world.put_target("stays");
+    world.run_for(warm_up);
+    return world;
+}
+
+/// Plays a fault of all followers that starts just before changes, which must be in force in time
+/// at all hosts that the fault leaves.
+void play_fault_of_followers(host_fault fault, std::uint64_t seed)
+{
+    store_world_settings settings;
+    settings.seed = seed;
+    auto world = make_world(settings);
+    for (const auto& id : world.followers()) {
+        world.set_fault(id, fault);
+    }
+    change_all(world);
+    world.run_for(settings.news_within);
+    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), is_up_to_date(world, 2, "new", "old"));
+}
+
+constexpr std::uint64_t seeds = 10;
+
+} // namespace
+
+class store_followers_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(store_followers_test);
+    CPPUNIT_TEST(all_hosts_start_and_few_follow);
+    CPPUNIT_TEST(news_reach_all_hosts_in_time);
+    CPPUNIT_TEST(news_reach_all_hosts_of_a_large_fleet_over_lossy_paths);
+    CPPUNIT_TEST(dead_followers_are_replaced_in_time);
+    CPPUNIT_TEST(frozen_followers_are_replaced_in_time);
+    CPPUNIT_TEST(deaf_followers_are_replaced_in_time);
+    CPPUNIT_TEST(followers_cut_off_are_replaced_in_time);
+    CPPUNIT_TEST(a_follower_that_wakes_takes_nothing_back);
+    CPPUNIT_TEST(a_host_that_starts_learns_all_from_its_peers);
+    CPPUNIT_TEST(all_hosts_restart_while_the_store_is_away);
+    CPPUNIT_TEST(a_quiet_fleet_asks_seldom_at_any_size);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void all_hosts_start_and_few_follow()
+    {
+        const auto world = make_world();
+        CPPUNIT_ASSERT(all_sound(world, [](const control_state& state) {
+            return state.stage == life_stage::serving && knows_target(state, "stays");
+        }));
+        CPPUNIT_ASSERT_EQUAL(3 * followers_per_region, world.followers().size());
+    }
+
+    void news_reach_all_hosts_in_time()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            store_world_settings settings;
+            settings.seed = seed;
+            auto world = make_world(settings);
+            change_all(world);
+            world.run_for(settings.news_within);
+            CPPUNIT_ASSERT(is_up_to_date(world, 2, "new", "old"));
+            world.put_evacuation("r1-0");
+            constexpr seconds evacuation_bound{5};
+            world.run_for(evacuation_bound);
+            CPPUNIT_ASSERT(all_sound(world, [](const control_state& state) {
+                return state.inventory.evacuated.contains(failure_domain_id("r1-0"));
+            }));
+        }
+    }
+
+    void news_reach_all_hosts_of_a_large_fleet_over_lossy_paths()
+    {
+        auto world = make_world({3, 3, 22, 0.1, 7, milliseconds(3'000)});
+        change_all(world);
+        world.run_for(milliseconds(3'000));
+        CPPUNIT_ASSERT(is_up_to_date(world, 2, "new", "old"));
+    }
+
+    void dead_followers_are_replaced_in_time()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            play_fault_of_followers(host_fault::dead, seed);
+        }
+    }
+
+    void frozen_followers_are_replaced_in_time()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            play_fault_of_followers(host_fault::frozen, seed);
+        }
+    }
+
+    void deaf_followers_are_replaced_in_time()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            play_fault_of_followers(host_fault::deaf, seed);
+        }
+    }
+
+    void followers_cut_off_are_replaced_in_time()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            play_fault_of_followers(host_fault::alone, seed);
+        }
+    }
+
+    /// It had the lists of long ago, and its steady clock stood still meanwhile.
+    void a_follower_that_wakes_takes_nothing_back()
+    {
+        auto world = make_world();
+        const auto frozen = world.followers();
+        for (const auto& id : frozen) {
+            world.set_fault(id, host_fault::frozen);
+        }
+        world.run_for(seconds(3));
+        change_all(world);
+        world.run_for(seconds(3));
+        for (const auto& id : frozen) {
+            world.clear_fault(id);
+        }
+        constexpr int steps_until_in_touch = 50; // Of 100 ms: 3 s until it counts, 2 s for news.
+        for (int step = 0; step < steps_until_in_touch; ++step) {
+            world.run_for(milliseconds(100));
+            for (const auto& id : world.hosts()) {
+                const bool was_frozen = std::ranges::find(frozen, id) != frozen.end();
+                const auto& state = world.state_of(id);
+                CPPUNIT_ASSERT(was_frozen || (!knows_target(state, "old") &&
+                                              state.fleet.envelope->number.value == 2));
+            }
+        }
+        CPPUNIT_ASSERT(is_up_to_date(world, 2, "new", "old"));
+    }
+
+    void a_host_that_starts_learns_all_from_its_peers()
+    {
+        auto world = make_world();
+        const auto followers = world.followers();
+        for (const auto& id : world.hosts()) {
+            const auto& seeds = world.state_of(id).self.seeds;
+            const auto& own = world.state_of(id).self.registration.peers;
+            const bool reads_store = std::ranges::find(followers, id) != followers.end() ||
+                                     std::ranges::find(seeds, own) != seeds.end();
+            if (reads_store) {
+                continue;
+            }
+            const auto before = world.calls_of(id);
+            world.restart(id);
+            world.run_for(seconds(2));
+            const auto& state = world.state_of(id);
+            CPPUNIT_ASSERT(state.stage == life_stage::serving && knows_target(state, "stays"));
+            CPPUNIT_ASSERT_EQUAL(before + 1, world.calls_of(id)); // It lists itself.
+        }
+    }
+
+    /// Some hosts go on serving; the others learn all from them.
+    void all_hosts_restart_while_the_store_is_away()
+    {
+        auto world = make_world();
+        world.set_store_away(true);
+        const auto all = world.hosts();
+        for (std::size_t i = 1; i < all.size(); ++i) {
+            world.restart(all[i]);
+        }
+        world.run_for(seconds(4));
+        CPPUNIT_ASSERT(all_sound(world, [](const control_state& state) {
+            return state.stage == life_stage::serving && knows_target(state, "stays");
+        }));
+    }
+
+    /// The goal of a day of 40 s: 25 calls a host at 12 hosts, 15 at 72, 8 at 198.
+    void a_quiet_fleet_asks_seldom_at_any_size()
+    {
+        struct size {
+            std::size_t domains = 0;
+            std::size_t hosts = 0;
+            std::size_t most_calls = 0; ///< of a host
+        };
+        for (const auto& [domains, hosts, most_calls] :
+             {size{2, 2, 25}, size{2, 12, 15}, size{3, 22, 8}}) {
+            auto world = make_world({3, domains, hosts, 0.01, 5, milliseconds(3'000)});
+            world.run_for(seconds(40) - warm_up);
+            const auto all = world.hosts().size();
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(world.calls()) + " calls of " +
+                                       std::to_string(all) + " hosts",
+                                   world.calls() <= most_calls * all);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_followers_test);
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/control/store_world.cpp
@@ -0,0 +1,369 @@
+#include "control/store_world.h"
+
+#include "control/peer_inventory.h"
+#include "control/store_followers.h"
+
+#include <algorithm>
+
+namespace almondquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds peer_delay{6};
+constexpr milliseconds store_delay{8};
+constexpr milliseconds call_timeout{1'000};
+constexpr std::size_t page_size = 50;
+
+std::variant<fleet, diagnostics> parse_one_service(std::string_view /*text*/,
+                                                   const std::string& /*file*/)
+{
+    fleet f;
+    service s;
+    s.id.value = "s";
+    f.services.emplace(s.id, s);
+    return f;
+}
+
+std::size_t index_of(inventory_kind kind)
+{
+    return static_cast<std::size_t>(kind);
+}
+
+} // namespace
+
+store_world::store_world(const store_world_settings& settings)
+    : settings_(settings), random_(settings.seed)
+{
+    std::size_t number = 0;
+    for (std::size_t r = 0; r < settings.regions; ++r) {
+        for (std::size_t d = 0; d < settings.domains_per_region; ++d) {
+            const auto domain = "r" + std::to_string(r) + "-" + std::to_string(d);
+            for (std::size_t h = 0; h < settings.hosts_per_domain; ++h) {
+                auto running = std::make_unique<running_host>();
+                const auto address = "10." + std::to_string(r) + "." + std::to_string(d) + "." +
+                                     std::to_string(h + 1);
+                running->self = {host_id("edge-" + domain + "-" + std::to_string(h)),
+                                 failure_domain_id(domain),
+                                 {address, 7000},
+                                 {address, 7001}};
+                ++number;
+                hosts_.emplace(running->self.id, std::move(running));
+            }
+        }
+    }
+    put_configuration(1);
+    for (const auto& id : hosts()) {
+        after(milliseconds(random_() % 300), [this, id] { start(id); });
+    }
+}
+
+std::vector<host_id> store_world::hosts() const
+{
+    std::vector<host_id> all;
+    for (const auto& [id, running] : hosts_) {
+        all.push_back(id);
+    }
+    return all;
+}
+
+std::vector<host_id> store_world::followers() const
+{
+    std::vector<host_id> all;
+    for (const auto& [id, running] : hosts_) {
+        if (follows_store(running->state, steady_time(id))) {
+            all.push_back(id);
+        }
+    }
+    return all;
+}
+
+void store_world::after(milliseconds delay, std::function<void()> action)
+{
+    actions_.push({now_ + delay, order_++, std::move(action)});
+}
+
+void store_world::run_for(milliseconds time)
+{
+    const auto end = now_ + time;
+    while (!actions_.empty() && actions_.top().at <= end) {
+        const auto next = actions_.top();
+        actions_.pop();
+        now_ = std::max(now_, next.at);
+        next.run();
+    }
+    now_ = end;
+}
+
+void store_world::start(const host_id& id)
+{
+    auto& running = *hosts_.at(id);
+    host_identity self;
+    self.host = id;
+    self.domain = running.self.domain;
+    self.life = incarnation(static_cast<std::uint64_t>(now_.count()));
+    self.registration = running.self;
+    self.has_inventory = true;
+    self.parse = parse_one_service;
+    self.news_within = settings_.news_within;
+    for (const auto& [other, h] : hosts_) {
+        const auto& domain = h->self.domain;
+        self.domains[domain] = region_id(domain.value.substr(0, domain.value.find('-')));
+    }
+    for (auto seed = hosts_.begin(); self.seeds.size() < 3 && seed != hosts_.end(); ++seed) {
+        self.seeds.push_back(seed->second->self.peers);
+    }
+    ++running.life;
+    running.state = make_control_state(self, random_());
+    tick(id, running.life);
+}
+
+void store_world::tick(const host_id& id, std::uint64_t life)
+{
+    give(id, life, tick_event{});
+    if (hosts_.at(id)->life == life) {
+        after(tick_interval, [this, id, life] { tick(id, life); });
+    }
+}
+
+void store_world::give(const host_id& id, std::uint64_t life, event_body body)
+{
+    auto& running = *hosts_.at(id);
+    if (running.life != life || has(id, host_fault::dead)) {
+        return;
+    }
+    if (has(id, host_fault::frozen)) {
+        constexpr milliseconds look_again{20};
+        after(look_again, [this, id, life, body = std::move(body)] { give(id, life, body); });
+        return;
+    }
+    const event e{std::move(body), steady_time(id), wall_time(now_)};
+    carry_out(id, reduce(running.state, e));
+}
+
+bool store_world::has(const host_id& id, host_fault fault) const
+{
+    const auto found = faults_.find(id);
+    return found != faults_.end() && found->second == fault;
+}
+
+monotonic_time store_world::steady_time(const host_id& id) const
+{
+    return monotonic_time(now_ - hosts_.at(id)->suspended);
+}
+
+std::size_t store_world::calls() const
+{
+    std::size_t all = 0;
+    for (const auto& [id, running] : hosts_) {
+        all += running->calls;
+    }
+    return all;
+}
+
+bool store_world::reaches_peers(const host_id& id) const
+{
+    const auto found = faults_.find(id);
+    return found == faults_.end() || found->second == host_fault::deaf;
+}
+
+bool store_world::reaches_store(const host_id& id) const
+{
+    return !store_away_ && !faults_.contains(id);
+}
+
+host_id store_world::host_at(const endpoint& peer) const
+{
+    const auto found = std::ranges::find_if(
+        hosts_, [&](const auto& entry) { return entry.second->self.peers == peer; });
+    return found == hosts_.end() ? host_id{} : found->first;
+}
+
+void store_world::carry_out(const host_id& id, const effects& all)
+{
+    const auto life = hosts_.at(id)->life;
+    for (const auto& e : all) {
+        if (const auto* gossip = std::get_if<send_gossip_effect>(&e)) {
+            send(id, *gossip);
+        } else if (const auto* asked = std::get_if<ask_inventory_effect>(&e)) {
+            ask(id, asked->question);
+        } else if (const auto* copy = std::get_if<fetch_inventory_effect>(&e)) {
+            const auto answer = [this, have = copy->have](const control_state& state) {
+                const auto text = encode(copy_of(state, have, steady_time(state.self.host)));
+                return event_body(peer_inventory_event{"peer", decode_inventory_copy(text)});
+            };
+            fetch(id, copy->peer, answer,
+                  peer_inventory_event{"peer", error{result_code::peer_unreachable, ""}});
+        } else if (const auto* text = std::get_if<fetch_fleet_effect>(&e)) {
+            const auto answer = [](const control_state& state) {
+                return event_body(
+                    peer_fleet_event{"peer", state.fleet.envelope.value_or(fleet_envelope{})});
+            };
+            fetch(id, text->peer, answer,
+                  peer_fleet_event{"peer", error{result_code::peer_unreachable, ""}});
+        } else if (const auto* listed = std::get_if<register_host_effect>(&e)) {
+            ++hosts_.at(id)->calls;
+            if (reaches_store(id)) {
+                note(inventory_kind::hosts, id.value, inventory_item{id.value, listed->self});
+                after(store_delay,
+                      [this, id, life] { give(id, life, host_registered_event{done{}}); });
+            }
+        }
+    }
+}
+
+void store_world::send(const host_id& from, const send_gossip_effect& e)
+{
+    const bool is_lost = std::uniform_real_distribution<double>(0, 1)(random_) < settings_.loss;
+    const auto to = host_at(e.peer);
+    if (is_lost || !reaches_peers(from) || to == host_id{}) {
+        return;
+    }
+    after(peer_delay, [this, to, message = e.message] {
+        if (reaches_peers(to)) {
+            give(to, hosts_.at(to)->life, gossip_event{message});
+        }
+    });
+}
+
+void store_world::fetch(const host_id& from, const endpoint& peer,
+                        const std::function<event_body(const control_state&)>& answer,
+                        const event_body& failure)
+{
+    const auto life = hosts_.at(from)->life;
+    const auto to = host_at(peer);
+    const bool is_served =
+        reaches_peers(from) && to != host_id{} && hosts_.at(to)->life != 0 && reaches_peers(to);
+    const auto delay = is_served ? 3 * peer_delay : call_timeout;
+    after(delay, [this, from, life, to, is_served, answer, failure] {
+        if (reaches_peers(from)) {
+            give(from, life, is_served ? answer(hosts_.at(to)->state) : failure);
+        }
+    });
+}
+
+void store_world::ask(const host_id& id, const inventory_question& question)
+{
+    ++hosts_.at(id)->calls;
+    const auto life = hosts_.at(id)->life;
+    auto waiting = std::make_shared<waiting_question>(waiting_question{id, life, question});
+    after(question.wait + call_timeout, [this, waiting] {
+        if (!waiting->is_over) {
+            waiting->is_over = true;
+            give(waiting->asker, waiting->life,
+                 inventory_read_event{waiting->question,
+                                      error{result_code::platform_answer_lost, "no answer"}});
+        }
+    });
+    if (!reaches_store(id)) {
+        return;
+    }
+    waiting_.push_back(waiting);
+    const bool has_news = std::ranges::any_of(history_, [&](const change& c) {
+        return c.kind == question.kind && c.at > question.since;
+    });
+    const bool waits = question.follow && !has_news;
+    after(waits ? question.wait : store_delay, [this, waiting] { answer(*waiting); });
+}
+
+void store_world::answer(const waiting_question& waiting)
+{
+    if (waiting.is_over || !reaches_store(waiting.asker)) {
+        return;
+    }
+    const auto& question = waiting.question;
+    const auto& known = objects_.at(index_of(question.kind));
+    inventory_page page;
+    page.at = revision_;
+    if (question.follow) {
+        std::set<std::string> names;
+        for (const auto& c : history_) {
+            if (c.kind == question.kind && c.at > question.since && names.insert(c.name).second) {
+                const auto found = known.find(c.name);
+                page.items.push_back(found == known.end()
+                                         ? inventory_item{c.name, absent_entry{}, revision_}
+                                         : found->second);
+            }
+        }
+    } else {
+        auto next = known.upper_bound(question.after);
+        for (; next != known.end() && page.items.size() < page_size; ++next) {
+            page.items.push_back(next->second);
+        }
+        page.has_more = next != known.end();
+    }
+    const_cast<waiting_question&>(waiting).is_over = true;
+    give(waiting.asker, waiting.life, inventory_read_event{question, page});
+}
+
+store_revision store_world::note(inventory_kind kind, const std::string& name,
+                                 std::optional<inventory_item> item)
+{
+    ++revision_.value;
+    auto& known = objects_.at(index_of(kind));
+    if (item) {
+        item->revision = revision_;
+        known.insert_or_assign(name, std::move(*item));
+    } else {
+        known.erase(name);
+    }
+    history_.push_back({revision_, kind, name});
+    std::erase_if(waiting_, [](const auto& w) { return w->is_over; });
+    for (const auto& w : waiting_) {
+        if (w->question.follow && w->question.kind == kind) {
+            after(store_delay, [this, w] { answer(*w); });
+        }
+    }
+    return revision_;
+}
+
+store_revision store_world::put_target(const std::string& name, std::uint64_t life)
+{
+    registered_target t;
+    t.what.id.value = name;
+    t.what.serves.value = "s";
+    t.what.domain.value = "r0-0";
+    t.what.address = {"10.9.0.1", 9000};
+    t.what.life.value = life;
+    return note(inventory_kind::targets, name, inventory_item{name, t});
+}
+
+store_revision store_world::delete_target(const std::string& name)
+{
+    return note(inventory_kind::targets, name, std::nullopt);
+}
+
+store_revision store_world::put_evacuation(const std::string& domain)
+{
+    return note(inventory_kind::evacuations, domain,
+                inventory_item{domain, evacuation{failure_domain_id(domain)}});
+}
+
+store_revision store_world::put_configuration(std::uint64_t number)
+{
+    return note(inventory_kind::configuration, "main",
+                inventory_item{"main", fleet_envelope{generation(number), "text", {}, "", "", 0}});
+}
+
+void store_world::set_fault(const host_id& id, host_fault fault)
+{
+    faults_[id] = fault;
+    hosts_.at(id)->frozen_at = now_;
+}
+
+void store_world::clear_fault(const host_id& id)
+{
+    if (has(id, host_fault::frozen)) {
+        hosts_.at(id)->suspended += now_ - hosts_.at(id)->frozen_at;
+    }
+    faults_.erase(id);
+}
+
+void store_world::restart(const host_id& id)
+{
+    clear_fault(id);
+    start(id);
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/unit_tests/control/store_world.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "control/reducer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+/// Hosts with the real reducer, a store and a network between them, in virtual time.
+namespace almondquay {
+
+struct store_world_settings {
+    std::size_t regions = 3;
+    std::size_t domains_per_region = 2;
+    std::size_t hosts_per_domain = 2;
+    double loss = 0; ///< of datagrams
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds news_within{2'000};
+};
+
+/// What is wrong with a host.
+enum class host_fault {
+    dead,   ///< does nothing, and nothing reaches it
+    frozen, ///< as dead, but goes on where it was when the fault ends
+    deaf,   ///< its questions to the store are never answered
+    alone,  ///< neither the store nor other hosts reach it
+};
+
+class store_world {
+public:
+    explicit store_world(const store_world_settings& settings);
+
+    void run_for(std::chrono::milliseconds time);
+    std::chrono::milliseconds now() const { return now_; }
+
+    /// Changes in the store; each returns the revision that it made.
+    store_revision put_target(const std::string& name, std::uint64_t life = 1);
+    store_revision delete_target(const std::string& name);
+    store_revision put_evacuation(const std::string& domain);
+    store_revision put_configuration(std::uint64_t number);
+
+    void set_fault(const host_id& id, host_fault fault);
+    void clear_fault(const host_id& id);
+    /// Ends a process and starts a new one in its place.
+    void restart(const host_id& id);
+    void set_store_away(bool away) { store_away_ = away; }
+
+    /// All hosts, and those of them that follow the store.
+    std::vector<host_id> hosts() const;
+    std::vector<host_id> followers() const;
+    bool has_fault(const host_id& id) const { return faults_.contains(id); }
+
+    const control_state& state_of(const host_id& id) const { return hosts_.at(id)->state; }
+    /// Calls to the store, of all hosts and of one.
+    std::size_t calls() const;
+    std::size_t calls_of(const host_id& id) const { return hosts_.at(id)->calls; }
+
+private:
+    struct running_host {
+        host self;
+        control_state state;
+        std::uint64_t life = 0; ///< events for an earlier life are dropped
+        std::size_t calls = 0;
+        std::chrono::milliseconds suspended{0}; ///< by which its steady clock is late
+        std::chrono::milliseconds frozen_at{0};
+    };
+    struct change {
+        store_revision at;
+        inventory_kind kind = inventory_kind::targets;
+        std::string name;
+    };
+    struct waiting_question {
+        host_id asker;
+        std::uint64_t life = 0;
+        inventory_question question;
+        bool is_over = false;
+    };
+    struct timed_action {
+        std::chrono::milliseconds at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+        bool operator<(const timed_action& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    void after(std::chrono::milliseconds delay, std::function<void()> action);
+    void start(const host_id& id);
+    void tick(const host_id& id, std::uint64_t life);
+    bool has(const host_id& id, host_fault fault) const;
+    monotonic_time steady_time(const host_id& id) const;
+    void give(const host_id& id, std::uint64_t life, event_body body);
+    void carry_out(const host_id& id, const effects& all);
+    void ask(const host_id& id, const inventory_question& question);
+    void answer(const waiting_question& waiting);
+    void send(const host_id& from, const send_gossip_effect& e);
+    void fetch(const host_id& from, const endpoint& peer,
+               const std::function<event_body(const control_state&)>& answer,
+               const event_body& failure);
+    store_revision note(inventory_kind kind, const std::string& name,
+                        std::optional<inventory_item> item);
+    bool reaches_peers(const host_id& id) const;
+    bool reaches_store(const host_id& id) const;
+    host_id host_at(const endpoint& peer) const;
+
+    store_world_settings settings_;
+    std::mt19937_64 random_;
+    std::chrono::milliseconds now_{1};
+    std::uint64_t order_ = 0;
+    std::priority_queue<timed_action> actions_;
+    std::map<host_id, std::unique_ptr<running_host>> hosts_;
+    std::map<host_id, host_fault> faults_;
+    bool store_away_ = false;
+    store_revision revision_{1};
+    std::array<std::map<std::string, inventory_item>, inventory_kinds> objects_;
+    std::vector<change> history_;
+    std::vector<std::shared_ptr<waiting_question>> waiting_;
+};
+
+} // namespace almondquay
--- a/unit_tests/platform/settings_template_test.cpp
+++ b/unit_tests/platform/settings_template_test.cpp
@@ -92,6 +92,7 @@
             {"limits", {{"cpu_share", 0.2}}},
             {"bounds",
              {{"grace_s", 6},
+              {"config_apply_s", 2.5},
               {"retry_ratio", 0.2},
               {"retry_slack", 62},
               {"retry_window_s", 10},
