Bound what is held of answers that never end

Cause: the buffers of connections had no limit and interim answers no count. Change: 128 KB for an answer that is being understood, 256 KB for requests and small messages, 16 interim answers; more is no answer, and its connection is closed. Not played: the same shapes from callers, other hosts and the store, whose buffers have the same limits.

--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -251,8 +251,8 @@
     self.domain = s.domain;
     self.life = incarnation(life);
     self.seeds = s.seeds;
-    self.registration = {s.host, s.domain, {s.address, s.caller_port}, {s.address, s.peer_port},
-                         s.weight};
+    self.registration = {
+        s.host, s.domain, {s.address, s.caller_port}, {s.address, s.peer_port}, s.weight};
     self.domains = s.domains;
     self.has_inventory = s.store == store_kind::registry;
     self.parse = protocol_of(s).parse_fleet;
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -107,7 +107,7 @@
     if (a.problem) {
         co_return a;
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_message_buffer_bytes);
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(max_response_bytes);
     co_await beast::http::async_read(stream, buffer, parser,
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -25,6 +25,9 @@
     std::string body;
 };
 
+/// Bytes of a message that are held while they are understood, besides its body.
+constexpr std::size_t max_message_buffer_bytes = 256 * 1024;
+
 inline constexpr unsigned status_ok = 200;
 inline constexpr unsigned status_created = 201;
 inline constexpr unsigned status_no_content = 204;
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -96,7 +96,7 @@
 asio::awaitable<void> serve_requests(state_ptr state, beast::tcp_stream& stream)
 {
     error_code problem;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_message_buffer_bytes);
     while (!problem) {
         beast::http::request_parser<beast::http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(state->limits.max_header_bytes));
--- a/source/traffic/caller_connection.h
+++ b/source/traffic/caller_connection.h
@@ -19,6 +19,9 @@
     connection_ptr upstream; ///< that carries it now
 };
 
+/// Bytes of requests that are held while they are understood; more than any header limit.
+constexpr std::size_t max_caller_buffer_bytes = 256 * 1024;
+
 struct caller_connection : boost::intrusive::list_base_hook<> {
     explicit caller_connection(tcp::socket socket)
         : stream(std::move(socket)),
@@ -27,7 +30,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_caller_buffer_bytes};
     asio::steady_timer changed;  ///< cancelled whenever something below changes
     std::uint64_t next_turn = 0; ///< of the next request that is read
     std::uint64_t answering = 0; ///< the turn whose answer is due
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -22,6 +22,8 @@
 constexpr int doubted_connection_part = 3;
 /// A new connection is doubted after so many times the service's slowest recent answer.
 constexpr double doubted_after_slowest = 3;
+/// Further interim answers before a final one are no answer.
+constexpr unsigned max_interim_answers = 16;
 constexpr unsigned informational = 100;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned first_server_error = 500;
@@ -319,21 +321,30 @@
     return is_doubted(w, request, used, part) ? now + part : request.deadline;
 }
 
-/// Reads the header of the final answer; informational ones before it are dropped.
+bool is_interim(const upstream_parser& parser)
+{
+    const auto status = parser.get().result_int();
+    return status >= informational && status < first_final_status;
+}
+
+/// Reads the header of the final answer; a few informational ones before it are dropped.
 asio::awaitable<void> read_answer_header(const caller_request& request,
                                          upstream_connection& upstream,
                                          std::optional<upstream_parser>& parser,
                                          error_code& problem)
 {
-    do {
+    for (unsigned interim = 0; interim <= max_interim_answers; ++interim) {
         parser.emplace();
         parser->header_limit(max_answer_header_bytes);
         parser->body_limit(boost::none);
         parser->skip(request.parser->get().method() == beast::http::verb::head);
         co_await beast::http::async_read_header(upstream.stream, upstream.buffer, *parser,
                                                 into(problem));
-    } while (!problem && parser->get().result_int() >= informational &&
-             parser->get().result_int() < first_final_status);
+        if (problem || !is_interim(*parser)) {
+            co_return;
+        }
+    }
+    problem = beast::http::error::header_limit;
 }
 
 /// Whether the answer is to another request than this one.
--- a/source/traffic/upstream_pool.h
+++ b/source/traffic/upstream_pool.h
@@ -14,13 +14,17 @@
 /// one whose request was abandoned is never used again.
 namespace almondquay {
 
+/// Bytes of an answer that are held while they are understood. What is longer, as chunk extensions or
+/// trailers without end, is no answer.
+constexpr std::size_t max_upstream_buffer_bytes = 128 * 1024;
+
 struct upstream_connection
     : boost::intrusive_ref_counter<upstream_connection, boost::thread_unsafe_counter>,
       boost::intrusive::list_base_hook<> {
     explicit upstream_connection(asio::io_context& io) : stream(io) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_upstream_buffer_bytes};
     std::chrono::steady_clock::time_point idle_since;
     std::chrono::milliseconds idle_limit{0}; ///< that the target has told; 0: none
     bool reused = false;
--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -1,6 +1,8 @@
 #include "common/endpoint.h"
 #include "http/message.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -24,10 +26,11 @@
 #include <tclap/CmdLine.h>
 
 /// A stand-in for a target with a few slots. The query asks for work and faults:
-/// ms (time it takes), bytes (size of the answer), fault (cut, never, garbage, twice, exit).
-/// With an id it also answers as the users' platform says: it refuses requests that name another
-/// target, repeats the request's id, and tells its load.
-/// It counts its runs for each key, which makes it the oracle of "at most once".
+/// ms (time it takes), bytes (size of the answer), fault (cut, never, garbage, twice, exit),
+/// endless (bytes that are no answer until the other end closes; see `endless_shapes`). With an id
+/// it also answers as the users' platform says: it refuses requests that name another target,
+/// repeats the request's id, and tells its load. It counts its runs for each key, which makes it
+/// the oracle of "at most once".
 namespace {
 
 namespace asio = boost::asio;
@@ -151,6 +154,51 @@
     co_return !*gone;
 }
 
+/// How an answer that never ends begins, and what is repeated after it.
+struct endless_shape {
+    std::string_view name;
+    std::string_view begin;
+    std::string_view repeated;
+};
+
+constexpr std::string_view chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::array endless_shapes{
+    endless_shape{"status", "HTTP/1.1 200 ", "very "},
+    endless_shape{"header", "HTTP/1.1 200 OK\r\nX-Long: ", "value "},
+    endless_shape{"headers", "HTTP/1.1 200 OK\r\n", "X-More: value\r\n"},
+    endless_shape{"interim", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    endless_shape{"extension", chunked_head, "1;name=value"},
+    endless_shape{"chunksize", chunked_head, "f"},
+    endless_shape{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                  "X-More: value\r\n"},
+    endless_shape{"body", "HTTP/1.1 200 OK\r\n\r\n", "body "},
+    endless_shape{"extra", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "extra "},
+    endless_shape{"nul", "", std::string_view("\0", 1)},
+};
+
+asio::awaitable<void> serve_endless(tcp::socket& socket, std::string name, std::string extra,
+                                    error_code& problem)
+{
+    const auto found = std::ranges::find(endless_shapes, name, &endless_shape::name);
+    if (found == endless_shapes.end()) {
+        problem = asio::error::invalid_argument;
+        co_return;
+    }
+    std::string begin(found->begin);
+    if (const auto line = begin.find("\r\n"); line != std::string::npos) {
+        begin.insert(line + 2, extra);
+    }
+    constexpr std::size_t piece_bytes = 16 * 1024;
+    std::string piece;
+    while (piece.size() < piece_bytes) {
+        piece += found->repeated;
+    }
+    co_await write_text(socket, begin, problem);
+    while (!problem) {
+        co_await asio::async_write(socket, asio::buffer(piece), into(problem));
+    }
+}
+
 asio::awaitable<void> serve_faulty(target& t, tcp::socket& socket, std::string fault,
                                    error_code& problem)
 {
@@ -211,6 +259,12 @@
         co_await serve_faulty(t, socket, fault, problem);
         co_return;
     }
+    const auto endless = std::string(message::header_of(parts.parameters, "endless"));
+    if (!endless.empty()) {
+        const auto id = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
+        co_await serve_endless(socket, endless, id, problem);
+        co_return;
+    }
     auto echo = std::string(message::header_of(parts.parameters, "echo"));
     if (!t.id.empty()) {
         echo += "\r\nX-Request-Id: " + std::string(request["X-Request-Id"]) +
