--- a/source/traffic/upstream_pool.h
+++ b/source/traffic/upstream_pool.h
@@ -14,8 +14,8 @@
 /// one whose request was abandoned is never used again.
 namespace almondquay {
 
-/// Bytes of an answer that are held while they are understood. What is longer, as chunk extensions or
-/// trailers without end, is no answer.
+/// Bytes of an answer that are held while they are understood. What is longer, as chunk extensions
+/// or trailers without end, is no answer.
 constexpr std::size_t max_upstream_buffer_bytes = 128 * 1024;
 
 struct upstream_connection
