--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -81,7 +81,7 @@
               gossip_message& message)
 {
     std::ranges::shuffle(entries, state.random);
-    std::ranges::stable_partition(entries, [&](const member_entry* entry) {
+    std::stable_partition(entries.begin(), entries.end(), [&](const member_entry* entry) {
         return is_urgent_death(entry->second, state.now);
     });
     entries.resize(std::min(entries.size(), most));
