--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -232,8 +232,8 @@
         CPPUNIT_ASSERT(knows(state, "t1") && knows(state, "t2"));
     }
 
-    /// A fleet of 72 hosts in virtual time: a peer took a list of which its teller had read one page
-    /// of two, and missed 8 hosts for good.
+    /// A fleet of 72 hosts in virtual time: a peer took a list of which its teller had read one
+    /// page of two, and missed 8 hosts for good.
     void a_list_is_not_told_before_its_last_page()
     {
         auto state = serving_state({item_of(target_of("t1"))});
