Check for a crash a little later; send nothing to a target withdrawn meanwhile

A process that ends may close its connections before its listener, so the connection made to find out whether the target has crashed was taken. Change: the check comes 150 ms after the lost answer; the evidence settles for 200 ms anyway. Test: targets_that_leave_or_go_are_not_usable; the way through the daemon is not tested by itself, since the stand-ins cannot hold a connection back.

--- a/source/common/result_code.cpp
+++ b/source/common/result_code.cpp
@@ -70,6 +70,8 @@
     {target_failed, "target_failed", "The target answered with a failure of its own."},
     {target_replaced, "target_replaced",
      "Another target has taken over the address; it was not run."},
+    {target_withdrawn, "target_withdrawn",
+     "The target was withdrawn while its connection was made; it was not run."},
 
     {key_missing, "key_missing",
      "The route must not repeat and the request has no key; it was not run."},
--- a/source/common/result_code.h
+++ b/source/common/result_code.h
@@ -57,6 +57,7 @@
     overloaded = 3020,
     target_failed = 3021,
     target_replaced = 3022,
+    target_withdrawn = 3023,
 
     key_missing = 4001,
     key_malformed = 4002,
--- a/source/steering/routing_snapshot.h
+++ b/source/steering/routing_snapshot.h
@@ -59,6 +59,13 @@
 
 using snapshot_ptr = boost::intrusive_ptr<const routing_snapshot>;
 
+/// A target of a service, or nullptr if the snapshot does not list it.
+const target_route* find_target(const routing_snapshot& snapshot, std::string_view service,
+                                const target_id& id);
+
+/// Whether new requests may go to a target.
+bool is_usable(const routing_snapshot& snapshot, std::string_view service, const target_id& id);
+
 /// The look-up answer for a service and a caller's address; callers outside all blocks are
 /// treated as near this host. nullptr if the service is unknown.
 const std::string* find_lookup_answer(const routing_snapshot& snapshot, std::string_view service,
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds avoid_time{1'000};
 /// What a refused caller is told when no target is known to get free.
 constexpr std::chrono::milliseconds shortest_retry_after{200};
+/// A target that crashes may close its connections a little before its listener.
+constexpr std::chrono::milliseconds crash_check_delay{150};
 /// Answers larger than this cost more to carry between regions than cold work at a near target.
 constexpr double large_answer_bytes = 20'000;
 
@@ -135,14 +137,8 @@
 
 std::uint32_t slots_of(const worker& w, const slot& used)
 {
-    const auto found = w.snapshot->services.find(used.service);
-    if (found != w.snapshot->services.end()) {
-        const auto t = std::ranges::find(found->second.targets, used.target, &target_route::id);
-        if (t != found->second.targets.end()) {
-            return t->slots;
-        }
-    }
-    return 1;
+    const auto* found = find_target(*w.snapshot, used.service, used.target);
+    return found == nullptr ? 1 : found->slots;
 }
 
 void note_result(worker& w, const caller_request& request, const slot& used, const forward_end& end,
@@ -180,6 +176,8 @@
 asio::awaitable<void> report_if_crashed(worker& w, crash_evidence evidence, endpoint address)
 {
     error_code problem;
+    asio::steady_timer delay(w.io, crash_check_delay);
+    co_await delay.async_wait(into(problem));
     const auto upstream = co_await connect(w.upstreams, address, clock::time_point::max(), problem);
     if (!problem) {
         keep(w.upstreams, address, upstream);
@@ -195,11 +193,10 @@
                     const forward_end& end)
 {
     if (end.code == result_code::target_answer_lost) {
-        asio::co_spawn(
-            w.io,
-            report_if_crashed(w, {request.fingerprint, describe(request), used.target},
-                              used.address),
-            asio::detached);
+        asio::co_spawn(w.io,
+                       report_if_crashed(w, {request.fingerprint, describe(request), used.target},
+                                         used.address),
+                       asio::detached);
     } else if (end.what == outcome::ran && w.suspects.erase(request.fingerprint) != 0) {
         w.context.events.cleared(request.fingerprint);
     }
@@ -220,6 +217,9 @@
             co_return forward_end{
                 result_code::target_unreachable, outcome::not_run, false, true, {}};
         }
+        if (used.checks_identity && !is_usable(*w.snapshot, used.service, used.target)) {
+            co_return forward_end{result_code::target_withdrawn, outcome::not_run, false, true, {}};
+        }
     }
     const bool reused = upstream->reused;
     const auto sent = clock::now();
--- a/unit_tests/steering/steering_test.cpp
+++ b/unit_tests/steering/steering_test.cpp
@@ -1,6 +1,7 @@
 #include "config/fleet_text.h"
 #include "steering/block_table.h"
 #include "steering/lookup_plan.h"
+#include "steering/routing_snapshot.h"
 #include "steering/slot_share.h"
 
 #include <algorithm>
@@ -115,6 +116,7 @@
     CPPUNIT_TEST(answers_name_the_nearest_place_that_can_serve);
     CPPUNIT_TEST(a_place_needs_what_its_service_depends_on);
     CPPUNIT_TEST(drained_and_dead_places_leave_the_answers);
+    CPPUNIT_TEST(targets_that_leave_or_go_are_not_usable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +205,21 @@
         set_mark(world.drains, {drain_kind::region, "east"}, true);
         CPPUNIT_ASSERT_EQUAL(std::string(), chosen(f, world, "base", "east"));
     }
+
+    void targets_that_leave_or_go_are_not_usable()
+    {
+        routing_snapshot snapshot;
+        service_routes routes;
+        routes.targets.resize(2);
+        routes.targets[0].id.value = "serves";
+        routes.targets[0].usable = true;
+        routes.targets[1].id.value = "leaves";
+        snapshot.services.emplace("s", routes);
+        CPPUNIT_ASSERT(is_usable(snapshot, "s", target_id("serves")));
+        CPPUNIT_ASSERT(!is_usable(snapshot, "s", target_id("leaves")));
+        CPPUNIT_ASSERT(!is_usable(snapshot, "s", target_id("gone")));
+        CPPUNIT_ASSERT(!is_usable(snapshot, "other", target_id("serves")));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(steering_test);
