--- a/source/control/quarantine.cpp
+++ b/source/control/quarantine.cpp
@@ -20,8 +20,7 @@
 /// Whether crashes are told to the followers of the store only.
 bool collects_at_followers(const control_state& state)
 {
-    return state.self.has_inventory &&
-           state.fleet.text.hosts.size() > max_hosts_told_of_each_crash;
+    return state.self.has_inventory && state.fleet.text.hosts.size() > max_hosts_told_of_each_crash;
 }
 
 /// Whether this host is told of crashes everywhere.
