Probe neighbours in failure domains of three hosts and more

Cause: membership_benchmark, run for docs/CAPACITY.md, showed 7 false deaths in 180 s with 24 hosts in 6 failure domains and 1 with 50 in 10: hosts of domains below 8 were judged by gossip alone, whose fixed budget carries their beats too seldom for the timeout of 2 s and 0.8 s a host. Ruled out: loss (none in those runs); longer timeouts, which already told of a death after 5.5 and 7.3 s. Change: domains of 3 hosts and more probe; two hosts of a domain still hear each other's beats often enough (0 false deaths at 6 x 2, with and without loss). Costs about 500 B/s more for hosts of such domains, 1.1 to 1.2 KB/s as in the larger ones, within 2 KB/s. Tests: no_live_host_of_a_small_domain_is_taken_for_dead (failed at 7 hosts, second 45) and a domain of 4 in a_death_is_known_soon_in_large_domains (3 still believed in the dead host) fail first, pass after.

--- a/benchmarks/membership_benchmark.cpp
+++ b/benchmarks/membership_benchmark.cpp
@@ -177,7 +177,8 @@
                  "false_deaths,bytes_per_host_s\n";
     for (const auto& shape :
          {fleet_shape{6, 2, 0}, fleet_shape{6, 2, 0.1}, fleet_shape{6, 4, 0}, fleet_shape{1, 10, 0},
-          fleet_shape{1, 20, 0}, fleet_shape{10, 5, 0}}) {
+          fleet_shape{1, 20, 0}, fleet_shape{10, 5, 0}, fleet_shape{6, 11, 0},
+          fleet_shape{9, 22, 0}, fleet_shape{9, 22, 0.1}, fleet_shape{40, 20, 0}}) {
         const auto result = simulation(shape).run();
         std::cout << "membership," << shape.domains << ',' << shape.hosts_per_domain << ','
                   << shape.loss << ',' << result.near_detected_ms << ',' << result.far_detected_ms
--- a/source/control/probing.h
+++ b/source/control/probing.h
@@ -14,7 +14,7 @@
 namespace almondquay {
 
 /// Failure domains with fewer hosts than this hear each other's beats soon enough.
-constexpr std::size_t min_probed_hosts = 8;
+constexpr std::size_t min_probed_hosts = 3;
 /// Between two questions to the same neighbour.
 constexpr std::chrono::milliseconds probe_interval{500};
 /// A neighbour that is silent for this long lets the one after it be asked as well.
--- a/unit_tests/control/probing_test.cpp
+++ b/unit_tests/control/probing_test.cpp
@@ -74,11 +74,13 @@
     CPPUNIT_TEST(a_death_is_known_soon_over_lossy_paths);
     CPPUNIT_TEST(many_deaths_at_once_are_known_soon);
     CPPUNIT_TEST(no_live_host_is_taken_for_dead);
+    CPPUNIT_TEST(no_live_host_of_a_small_domain_is_taken_for_dead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void a_death_is_known_soon_in_large_domains()
     {
+        play_death(2, 4, 0);
         play_death(2, 11, 0);
         play_death(3, 22, 0);
     }
@@ -120,6 +122,20 @@
             }
         }
     }
+
+    /// Found by membership_benchmark: 24 hosts in 6 failure domains believed in false deaths.
+    void no_live_host_of_a_small_domain_is_taken_for_dead()
+    {
+        for (const std::size_t hosts_per_domain : {3, 4, 7}) {
+            store_world world({3, 2, hosts_per_domain, 0, 5, milliseconds(3'000)});
+            for (int i = 0; i < 180; ++i) {
+                world.run_for(seconds(1));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(hosts_per_domain) +
+                                                 " hosts a domain, at s " + std::to_string(i),
+                                             std::size_t{0}, false_deaths(world));
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(probing_test);
