Ask again who has a sign of life while a suspicion stands

Cause: a suspicion in a failure domain of 22 hosts was refuted by one of three hosts asked once. Ruled out: beats by gossip, which never refute a suspicion.

Change: three others are asked every 250 ms until the suspicion ends.

--- a/source/control/probing.cpp
+++ b/source/control/probing.cpp
@@ -134,6 +134,10 @@
             dead.push_back(h->id);
         } else if (!is_suspected && silence >= silence_before_suspicion) {
             p.suspected_at = now;
+            p.last_refutation = now;
+            ask_to_refute(state, *h, ring, out);
+        } else if (is_suspected && now - p.last_refutation >= refutation_interval) {
+            p.last_refutation = now;
             ask_to_refute(state, *h, ring, out);
         }
         if (silence < neighbour_patience) {
--- a/source/control/probing.h
+++ b/source/control/probing.h
@@ -8,7 +8,7 @@
 ///
 /// The hosts of a failure domain form a ring by hash. Each one asks its next neighbour for a sign
 /// of life, and those after it while the neighbour does not answer. A neighbour that stays silent
-/// is suspected: a few other hosts are asked whether they have a newer beat of it or can get one,
+/// is suspected: a few other hosts at a time are asked whether they can get a sign of life of it,
 /// and only if none comes in time is it taken for dead. After A. Das, I. Gupta and A. Motivala,
 /// "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol", 2002.
 namespace almondquay {
@@ -24,7 +24,11 @@
 /// How long others may take to refute a suspicion.
 constexpr std::chrono::milliseconds refutation_time{1'200};
 constexpr std::size_t max_neighbours_asked = 4;
+/// Asked anew as long as a suspicion stands, since each question takes four messages to be
+/// answered.
 constexpr std::size_t hosts_asked_to_refute = 3;
+/// Between two rounds of such questions.
+constexpr std::chrono::milliseconds refutation_interval{250};
 
 /// Whether the own failure domain is large enough for its hosts to probe each other.
 bool is_probed_domain(const control_state& state);
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -55,7 +55,8 @@
 struct probed_host {
     monotonic_time silent_since{};
     monotonic_time last_question{};
-    monotonic_time suspected_at{}; ///< zero: it is not suspected
+    monotonic_time suspected_at{};    ///< zero: it is not suspected
+    monotonic_time last_refutation{}; ///< when others were last asked to refute the suspicion
 };
 
 /// A host about which a peer asked, and whom to tell of a sign of life.
--- a/unit_tests/control/probing_test.cpp
+++ b/unit_tests/control/probing_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(many_deaths_at_once_are_known_soon);
     CPPUNIT_TEST(no_live_host_is_taken_for_dead);
     CPPUNIT_TEST(no_live_host_of_a_small_domain_is_taken_for_dead);
+    CPPUNIT_TEST(no_live_host_of_a_large_domain_is_taken_for_dead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,6 +137,17 @@
             }
         }
     }
+
+    /// Found by membership_benchmark: 198 hosts in 9 failure domains believed in false deaths.
+    void no_live_host_of_a_large_domain_is_taken_for_dead()
+    {
+        store_world world({3, 3, 22, 0.1, 5, milliseconds(3'000)});
+        for (int i = 0; i < 180; ++i) {
+            world.run_for(seconds(1));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("at s " + std::to_string(i), std::size_t{0},
+                                         false_deaths(world));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(probing_test);
