Tell the hosts of the region of a target that refuses connections

Ruled out: probes by those told, which are priced and go to each dead target twice a second from each host; word to the followers first, which takes longer.

Change: the first refused connection leaves the target out for 2 s at this host and, with one datagram at the next tick, at the hosts of its region. No probes: if it still refuses then, one request tells again. Only refusals count, not connections that time out, and if more than half of a service's targets were told, the telling is distrusted.

--- a/source/control/event.h
+++ b/source/control/event.h
@@ -60,7 +60,7 @@
 };
 
 /// How the traffic threads fared with a target.
-enum class target_evidence { served, connect_failed, answer_lost };
+enum class target_evidence { served, connect_failed, connection_refused, answer_lost };
 
 /// Sent on every failure and on the first success after failures.
 struct target_report_event {
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -3,6 +3,7 @@
 #include "control/decisions.h"
 #include "control/peer_inventory.h"
 #include "control/probing.h"
+#include "control/unreachable_targets.h"
 
 #include <algorithm>
 
@@ -361,6 +362,7 @@
         state.fleet.next_fetch = e.now + (state.self.has_inventory ? copy_patience : no_patience);
         out.emplace_back(fetch_fleet_effect{*peer});
     }
+    take_unreachable(state, e, message.unreachable);
     take_news(state, e, message, out);
     note_peer_inventory(state, e, message, *peer, out);
 }
--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -10,6 +10,7 @@
 #include "control/quarantine.h"
 #include "control/snapshot_builder.h"
 #include "control/target_health.h"
+#include "control/unreachable_targets.h"
 
 namespace almondquay {
 
@@ -70,6 +71,7 @@
     tick_fleet(state, e, out);
     tick_inventory(state, e, out);
     tick_health(state, e, out);
+    tick_unreachable(state, e, out);
     tick_quarantine(state, e, out);
     tick_stop(state, e, out);
     take_claim_event(state, e, claim_tick_event{}, out);
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -157,7 +157,8 @@
     bool refuses = false; ///< the latest failure was a connection that was not taken
     bool probe_running = false;
     monotonic_time next_probe{};
-    std::string decided_by; ///< id of the decision that set `usable`
+    monotonic_time unreachable_until{}; ///< zero: no connection was refused lately
+    std::string decided_by;             ///< id of the decision that set `usable`
 };
 
 /// A request that was in flight when targets crashed.
@@ -191,6 +192,7 @@
     inventory_state inventory;
     membership_state membership;
     std::map<target_id, target_health> targets;
+    std::set<target_id> unreachable_news; ///< not told yet
     std::map<request_fingerprint, suspect> suspects;
     std::map<request_fingerprint, quarantined_request> quarantined;
     claim_state claims;
--- a/source/control/target_health.cpp
+++ b/source/control/target_health.cpp
@@ -1,6 +1,7 @@
 #include "control/target_health.h"
 
 #include "control/decisions.h"
+#include "control/unreachable_targets.h"
 
 #include <algorithm>
 
@@ -15,6 +16,8 @@
         return "served";
     case target_evidence::connect_failed:
         return "connect_failed";
+    case target_evidence::connection_refused:
+        return "connection_refused";
     case target_evidence::answer_lost:
         return "answer_lost";
     }
@@ -82,7 +85,10 @@
         return;
     }
     ++health.failures;
-    health.refuses = report.evidence == target_evidence::connect_failed;
+    health.refuses = report.evidence != target_evidence::answer_lost;
+    if (report.evidence == target_evidence::connection_refused) {
+        note_refused_connection(state, e, report.target);
+    }
     if (health.usable && health.failures >= failures_to_eject) {
         eject(state, e, report, health, out);
     }
@@ -126,8 +132,13 @@
         }
         ++all[t.serves];
         const auto health = state.targets.find(id);
-        if (health != state.targets.end() && !health->second.usable) {
+        if (health == state.targets.end()) {
+            continue;
+        }
+        if (!health->second.usable) {
             (health->second.refuses ? believed : dead[t.serves]).insert(id);
+        } else if (health->second.unreachable_until != monotonic_time{}) {
+            dead[t.serves].insert(id);
         }
     }
     for (const auto& [id, targets] : dead) {
--- a/source/control/target_health.h
+++ b/source/control/target_health.h
@@ -20,9 +20,9 @@
 /// Starts due probes of ejected targets of the own failure domain.
 void tick_health(control_state& state, const event& e, effects& out);
 
-/// Targets that get no work: those that take no connections, and those that lose answers. If more
-/// than half of a service's targets in the domain lose answers at once, the measurement is
-/// distrusted instead.
+/// Targets that get no work: those that take no connections, those that lose answers, and those
+/// that others were refused by. If more than half of a service's targets in the domain are of the
+/// latter two kinds at once, the measurement is distrusted instead.
 std::set<target_id> dead_targets(const control_state& state);
 
 } // namespace almondquay
--- a/source/peer/gossip_message.cpp
+++ b/source/peer/gossip_message.cpp
@@ -62,11 +62,15 @@
     for (const auto& age : message.confirmed) {
         confirmed.push_back(age.count());
     }
+    json unreachable = json::array();
+    for (const auto& id : message.unreachable) {
+        unreachable.push_back(id.value);
+    }
     const json whole = json::array(
         {message.from.value, message.time.wall_ms, message.time.counter, message.in_force.value,
          message.fingerprint, encode_beats(message.beats), std::move(inventory),
          std::move(confirmed), message.wants_answer, encode_beats(message.suspects),
-         message.answer_to.address, message.answer_to.port, message.news});
+         message.answer_to.address, message.answer_to.port, message.news, std::move(unreachable)});
     const auto bytes = json::to_cbor(whole);
     std::string body(bytes.begin(), bytes.end());
     return sign(secret, body) + body;
@@ -95,6 +99,12 @@
         message.answer_to.address = whole.at(10).get<std::string>();
         message.answer_to.port = whole.at(11).get<std::uint16_t>();
         message.news = whole.at(12).get<std::string>();
+        constexpr std::size_t unreachable_place = 13; // Earlier versions do not send it.
+        if (whole.size() > unreachable_place) {
+            for (const auto& id : whole.at(unreachable_place)) {
+                message.unreachable.emplace_back(id.get<std::string>());
+            }
+        }
         for (std::size_t i = 0; i < inventory_kinds; ++i) {
             message.inventory.at(i).value = whole.at(6).at(i).get<std::uint64_t>();
             const std::chrono::milliseconds age(whole.at(7).at(i).get<std::int64_t>());
--- a/source/peer/gossip_message.h
+++ b/source/peer/gossip_message.h
@@ -41,6 +41,7 @@
     std::string news{};                  ///< an encoded inventory_copy of the latest changes
     endpoint answer_to{};                ///< of a sender that wants something of the receiver
     std::vector<member_beat> suspects{}; ///< silent hosts; who has newer beats of them is to say so
+    std::vector<target_id> unreachable{}; ///< refused the sender's connections
 
     bool operator==(const gossip_message&) const = default;
 };
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -212,7 +212,10 @@
         upstream = co_await connect(w.upstreams, used.address, request.deadline, problem);
         if (problem) {
             if (!used.is_spill) {
-                report_target(w, used.target, target_evidence::connect_failed);
+                report_target(w, used.target,
+                              problem == asio::error::connection_refused
+                                  ? target_evidence::connection_refused
+                                  : target_evidence::connect_failed);
             }
             co_return forward_end{
                 result_code::target_unreachable, outcome::not_run, false, true, {}};
--- a/unit_tests/control/store_world.cpp
+++ b/unit_tests/control/store_world.cpp
@@ -367,6 +367,11 @@
     give(id, hosts_.at(id)->life, crash_evidence_event{evidence, false});
 }
 
+void store_world::report_refused_connection(const host_id& id, const target_id& target)
+{
+    give(id, hosts_.at(id)->life, target_report_event{target, target_evidence::connection_refused});
+}
+
 void store_world::set_fault(const host_id& id, host_fault fault)
 {
     faults_[id] = fault;
--- a/unit_tests/control/store_world.h
+++ b/unit_tests/control/store_world.h
@@ -43,6 +43,8 @@
 
     /// A request was in flight at this host when a target crashed.
     void report_crash(const host_id& id, const crash_evidence& evidence);
+    /// A connection of this host was refused by a target.
+    void report_refused_connection(const host_id& id, const target_id& target);
     /// Calls with evidence of crashes, of all hosts.
     std::size_t evidence_calls() const { return evidence_calls_; }
 
--- /dev/null
+++ b/unit_tests/control/unreachable_targets_test.cpp
@@ -0,0 +1,102 @@
+#include "control/store_world.h"
+#include "control/target_health.h"
+#include "control/unreachable_targets.h"
+
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace almondquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds warm_up{10};
+/// Callers wait about so long for work; hosts that know later find out by requests of their own.
+constexpr milliseconds known_within{500};
+const target_id dead("t1");
+
+/// 63 hosts in 9 failure domains of 3 regions.
+store_world make_world()
+{
+    store_world_settings settings;
+    settings.domains_per_region = 3;
+    settings.hosts_per_domain = 7;
+    store_world world(settings);
+    for (const auto* name : {"t1", "t2", "t3", "t4"}) {
+        world.put_target(name);
+    }
+    world.run_for(warm_up);
+    return world;
+}
+
+bool is_of_region(const host_id& id, const std::string& region)
+{
+    return id.value.starts_with("edge-" + region);
+}
+
+/// Hosts of a region that give the target no work.
+std::size_t hosts_without(const store_world& world, const target_id& target,
+                          const std::string& region)
+{
+    const auto all = world.hosts();
+    return static_cast<std::size_t>(std::ranges::count_if(all, [&](const host_id& id) {
+        return is_of_region(id, region) && dead_targets(world.state_of(id)).contains(target);
+    }));
+}
+
+std::size_t hosts_of(const store_world& world, const std::string& region)
+{
+    const auto all = world.hosts();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(all, [&](const host_id& id) { return is_of_region(id, region); }));
+}
+
+} // namespace
+
+class unreachable_targets_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(unreachable_targets_test);
+    CPPUNIT_TEST(one_refused_connection_is_known_in_the_region);
+    CPPUNIT_TEST(a_target_gets_work_again_after_a_while);
+    CPPUNIT_TEST(a_host_that_is_refused_everywhere_is_distrusted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Found at further-grown inc-3ea1: of 84 hosts each one found the same dead targets by failed
+    /// requests of its own, 635 of them in two seconds.
+    void one_refused_connection_is_known_in_the_region()
+    {
+        auto world = make_world();
+        world.report_refused_connection(world.hosts().front(), dead);
+        world.run_for(known_within);
+        CPPUNIT_ASSERT_EQUAL(hosts_of(world, "r0"), hosts_without(world, dead, "r0"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts_without(world, dead, "r1"));
+    }
+
+    void a_target_gets_work_again_after_a_while()
+    {
+        auto world = make_world();
+        world.report_refused_connection(world.hosts().front(), dead);
+        world.run_for(known_within);
+        CPPUNIT_ASSERT(hosts_without(world, dead, "r0") != 0);
+        world.run_for(unreachable_time + known_within);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts_without(world, dead, "r0"));
+    }
+
+    /// A host that reaches nothing must not take all targets from the others.
+    void a_host_that_is_refused_everywhere_is_distrusted()
+    {
+        auto world = make_world();
+        for (const auto* name : {"t1", "t2", "t3"}) {
+            world.report_refused_connection(world.hosts().front(), target_id(name));
+        }
+        world.run_for(known_within);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts_without(world, dead, "r0"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unreachable_targets_test);
+
+} // namespace almondquay
