Let large answers leave a region whose targets have no room

Cause: requests with large answers stay in their region. Ruled out: a share of the objects served from afar in advance, which costs as much in bytes between regions as it earns and moves more at once than the cap on shifts allows.

Change: what would be refused near is placed anywhere, and so is the attempt after one that a target has shed. The decision to refuse moves from the sending code into the placement unit.

--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds shortest_retry_after{200};
 /// A target that crashes may close its connections a little before its listener.
 constexpr std::chrono::milliseconds crash_check_delay{150};
-/// Answers larger than this cost more to carry between regions than cold work at a near target.
-constexpr double large_answer_bytes = 20'000;
 
 /// Gives the slot back when the attempt ends, however it ends.
 struct slot_guard {
@@ -97,7 +95,7 @@
         const auto known = w.routes.find(rule->id);
         if (known != w.routes.end()) {
             wish.work = std::chrono::milliseconds(std::llround(known->second.work_ms));
-            wish.stay_near = known->second.answer_bytes > large_answer_bytes;
+            wish.stay_near = stays_near(known->second.answer_bytes, request.is_shed_near);
         }
     }
     return wish;
@@ -114,16 +112,15 @@
     }
     const auto now = clock::now();
     const auto wish = make_wish(w, request, excluded);
-    const auto chosen = place(found->second.targets, w.loads, wish, now);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const auto chosen =
+        place_or_refuse(found->second.targets, w.loads, wish, uniform(w.random), now);
     if (chosen.target == nullptr) {
         refused.code = chosen.any_usable ? result_code::no_free_slot : result_code::no_live_target;
         refused.retry_after = shortest_retry_after;
         return std::nullopt;
     }
-    std::uniform_real_distribution<double> uniform(0, 1);
-    const bool is_shed = excluded.empty() &&
-                         uniform(w.random) < refused_part(chosen.wait + wish.work, wish.objective);
-    if (is_shed || chosen.wait + wish.work > wish.time_left) {
+    if (chosen.is_refused) {
         refused.code = result_code::overloaded;
         refused.retry_after = std::max(chosen.wait, shortest_retry_after);
         return std::nullopt;
@@ -310,6 +307,7 @@
     auto tried = co_await attempt(w, request, *taken);
     note_result(w, request, *taken, tried, sent);
     log_attempt(w, request, *taken, tried, clock::now() - sent);
+    request.is_shed_near = request.is_shed_near || tried.code == result_code::target_shed;
     excluded.push_back(taken->target);
     co_return tried;
 }
--- a/source/traffic/forward.h
+++ b/source/traffic/forward.h
@@ -33,6 +33,7 @@
     bool is_spilled = false; ///< sent by an entry host of another failure domain
     bool keep_alive = false;
     bool is_sampled = false;          ///< logged also if it succeeds
+    bool is_shed_near = false;        ///< by a target of its region, which had no room
     bool may_try_again = false;       ///< a failed answer need not be passed on
     std::optional<target_id> doubted; ///< whose late answer made an attempt be given up
     std::string body;                 ///< the first piece
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -134,6 +134,14 @@
     return all.empty() ? avoided : all;
 }
 
+bool is_refused(const placement& chosen, const placement_wish& wish, double draw)
+{
+    const auto predicted = chosen.wait + wish.work;
+    const bool is_first = wish.excluded == nullptr || wish.excluded->empty();
+    return predicted > wish.time_left ||
+           (is_first && draw < refused_part(predicted, wish.objective));
+}
+
 } // namespace
 
 double rendezvous_score(std::uint64_t object, const target_route& target)
@@ -186,6 +194,23 @@
     return chosen;
 }
 
+placement place_or_refuse(const std::vector<target_route>& targets, const load_table& loads,
+                          placement_wish wish, double draw, clock::time_point now)
+{
+    auto chosen = place(targets, loads, wish, now);
+    if (wish.stay_near && (chosen.target == nullptr || is_refused(chosen, wish, draw))) {
+        wish.stay_near = false;
+        chosen = place(targets, loads, wish, now);
+    }
+    chosen.is_refused = chosen.target != nullptr && is_refused(chosen, wish, draw);
+    return chosen;
+}
+
+bool stays_near(double answer_bytes, bool is_shed_near)
+{
+    return answer_bytes > large_answer_bytes && !is_shed_near;
+}
+
 void note_report(target_load& load, std::string_view report, clock::time_point now)
 {
     std::uint32_t running = 0;
--- a/source/traffic/placement.h
+++ b/source/traffic/placement.h
@@ -51,8 +51,11 @@
     std::chrono::milliseconds wait{0};    ///< predicted, in its queue
     std::size_t position = 0;             ///< in the object's order
     bool any_usable = false;              ///< some target would be usable if it had room
+    bool is_refused = false;              ///< it would most likely not be served in time
 };
 
+/// Answers larger than this cost more to carry between regions than cold work at a near target.
+constexpr double large_answer_bytes = 20'000;
 /// Cold work takes this many times as long as warm work.
 constexpr int cold_work_factor = 3;
 /// Targets of an object's order that are considered.
@@ -75,6 +78,18 @@
 placement place(const std::vector<target_route>& targets, const load_table& loads,
                 const placement_wish& wish, std::chrono::steady_clock::time_point now);
 
+/// Chooses a target or refuses the request at once. `draw`, evenly from 0 to 1, decides which
+/// requests are refused.
+///
+/// Answers the load of a region whose own targets are too few: a request that would be refused near
+/// goes where there is room.
+placement place_or_refuse(const std::vector<target_route>& targets, const load_table& loads,
+                          placement_wish wish, double draw,
+                          std::chrono::steady_clock::time_point now);
+
+/// Whether a request keeps to the targets of its region. One of them may have shed it already.
+bool stays_near(double answer_bytes, bool is_shed_near);
+
 /// The place of a target in an object's order; higher comes first. Weighted rendezvous hashing.
 double rendezvous_score(std::uint64_t object, const target_route& target);
 
--- a/unit_tests/traffic/placement_test.cpp
+++ b/unit_tests/traffic/placement_test.cpp
@@ -173,6 +173,70 @@
     return result;
 }
 
+/// Plays requests with large answers from one region, with `near` targets of its own and `far` ones
+/// elsewhere that others use half. Counts what callers get after the first seconds.
+load_result play_large_answers(std::size_t near, std::size_t far, double rate, seconds length)
+{
+    constexpr std::size_t hosts = 65;
+    constexpr std::uint64_t objects = 60;
+    constexpr seconds warm_up{4};
+    constexpr unsigned attempts = 2;
+    constexpr double large = 200'000;
+    auto targets = make_targets(near + far);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        targets[i].in_region.value = i < near ? "near" : "far";
+    }
+    std::vector<model_target> models(targets.size());
+    std::array<load_table, hosts> tables;
+    std::vector<answer_on_its_way> answers;
+    std::mt19937_64 random(11);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    std::exponential_distribution<double> gap(rate);
+    load_result result;
+    for (auto now = start; now < start + length;) {
+        now +=
+            std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(gap(random)));
+        std::erase_if(answers, [&](const answer_on_its_way& a) {
+            if (a.at <= now) {
+                auto& load = tables.at(a.host)[targets[a.target].id];
+                --load.in_flight;
+                note_report(load, "3," + std::to_string(a.waiting) + ",3", a.at);
+                note_answer_time(load, 3, a.took);
+            }
+            return a.at <= now;
+        });
+        const auto host = random() % hosts;
+        const auto object = random() % objects;
+        std::vector<target_id> excluded;
+        std::optional<clock::time_point> end;
+        for (unsigned tries = 0; tries < attempts && !end; ++tries) {
+            auto wish = wish_for(object);
+            wish.near_region.value = "near";
+            wish.stay_near = stays_near(large, tries != 0);
+            wish.excluded = &excluded;
+            auto& table = tables.at(host);
+            const auto chosen = place_or_refuse(targets, table, wish, uniform(random), now);
+            if (chosen.target == nullptr || chosen.is_refused) {
+                break;
+            }
+            const auto index = static_cast<std::size_t>(chosen.target - targets.data());
+            end = run(models[index], object, now);
+            excluded.push_back(chosen.target->id);
+            if (end) {
+                note_sent(table[chosen.target->id], *chosen.target, now);
+                const auto took = std::chrono::duration_cast<milliseconds>(*end - now);
+                answers.push_back({*end, host, index, took,
+                                   static_cast<std::uint32_t>(models[index].waiting(*end))});
+            }
+        }
+        if (now - start >= warm_up) {
+            ++result.requests;
+            result.refused += end ? 0 : 1;
+        }
+    }
+    return result;
+}
+
 double part_in_time(const load_result& r)
 {
     return static_cast<double>(r.in_time) / static_cast<double>(r.requests);
@@ -192,6 +256,7 @@
     CPPUNIT_TEST(objects_spread_by_slots);
     CPPUNIT_TEST(homes_and_failures_of_the_request_exclude_targets);
     CPPUNIT_TEST(large_answers_stay_in_their_region);
+    CPPUNIT_TEST(large_answers_leave_a_region_that_has_no_room);
     CPPUNIT_TEST(failing_targets_are_the_last_choice);
     CPPUNIT_TEST(a_cold_target_gets_no_more_than_its_share_in_a_second);
     CPPUNIT_TEST(a_long_queue_hands_over_the_same_objects_everywhere);
@@ -272,6 +337,17 @@
         }
     }
 
+    /// Found at large inc-593a: a region with 6 of the 66 targets of its service refused callers
+    /// while the other targets had room. No caller is refused while a target is idle.
+    void large_answers_leave_a_region_that_has_no_room()
+    {
+        constexpr double slots_of_near = 6 * 3;
+        const double warm = std::chrono::duration<double>(warm_work).count();
+        const double above = 1.3 * slots_of_near / warm;
+        const auto got = play_large_answers(6, 60, above, seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, got.refused);
+    }
+
     void failing_targets_are_the_last_choice()
     {
         const auto targets = make_targets(2);
