Cancel hanging work in the stand-in, and play bursts beside it

The stand-in kept a request that is never answered running for an hour after its connection had been closed, so the slot that the host had rightly given back was still counted. A burst that filled the host's share then made four in flight. Shown by a run with the callers stopped and continued: 5 and 6 over at the one target that hangs, 0 at all others, and 0 without the hanging request. Ruled out: shares that overlap (the run without the hanging request filled all shares, 3 in flight, none over).

The check stands; two are added: the hanging request must be cancelled at the target, and the callers come in bursts that fill the shares, so that the check bites in every run instead of one in many.

--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -207,8 +207,7 @@
         std::_Exit(1);
     }
     if (fault == "never") {
-        asio::steady_timer timer(t.io, std::chrono::hours(1));
-        co_await timer.async_wait(into(problem));
+        co_await work(t, socket, std::chrono::hours(1));
     } else if (fault == "garbage") {
         co_await write_text(socket, "\x01\x02 not http at all\r\n\r\n", problem);
     } else if (fault == "cut") {
--- a/unit_tests/processes/caller_faults.sh
+++ b/unit_tests/processes/caller_faults.sh
@@ -25,6 +25,23 @@
 answer=$(get "$host" ledger "/x?fault=never" "Almondquay-Deadline-Ms: 700" "Idempotency-Key: $hanging")
 expect "a target that never answers ends at the deadline" contains "$answer" "Almondquay-Result: 3008"
 
+cancelled() { for n in 1 2; do http_get "127.1.1.$n:9000" /stats; done | awk '/^cancelled/{sum += $2} END{print sum + 0}'; }
+expect "it is cancelled at the target" test "$(cancelled)" -ge 1
+
+# Others come in bursts from now on, so that targets are as busy as they may be.
+stall_now_and_then() {
+    local process i
+    process=$(cat "/proc/$others/task/$others/children")
+    for i in 1 2 3 4 5; do
+        kill -STOP $process
+        sleep 0.8
+        kill -CONT $process
+        sleep 0.4
+    done
+}
+stall_now_and_then &
+bursts=$!
+
 answer=$(get "$host" ledger "/x?fault=twice&bytes=3"; get "$host" ledger "/x?bytes=4&echo=mine")
 expect "a second answer is never given to another request" contains "$answer" "Echo: mine"
 
@@ -52,7 +69,7 @@
 attempts_of() { for n in 1 2 3; do http_get "127.1.1.$n:9000" /keys; done | grep -c "$1"; }
 expect "a request at which targets hang takes two of them at most" at_most "$(attempts_of "$hanging")" 2
 
-wait "$others"
+wait "$bursts" "$others"
 expect "others got only whole answers of their own" equal "$(count_of "$work/others.txt" wrong)" 0
 expect "others lost nothing" equal "$(awk '/^lost/{print $NF}' "$work/others.txt")" 0
 expect "no target was over its slots" equal "$(over_limit)" 0
