Log when a target is left out and when it is tried again

Change: decisions leave_out_target, with the host that was refused, and try_target_again. unreachable_targets_test 3 of 3 as before. Conclusion: no change of behaviour.

--- a/source/control/target_health.cpp
+++ b/source/control/target_health.cpp
@@ -87,7 +87,7 @@
     ++health.failures;
     health.refuses = report.evidence != target_evidence::answer_lost;
     if (report.evidence == target_evidence::connection_refused) {
-        note_refused_connection(state, e, report.target);
+        note_refused_connection(state, e, report.target, out);
     }
     if (health.usable && health.failures >= failures_to_eject) {
         eject(state, e, report, health, out);
--- a/source/control/unreachable_targets.cpp
+++ b/source/control/unreachable_targets.cpp
@@ -1,5 +1,6 @@
 #include "control/unreachable_targets.h"
 
+#include "control/decisions.h"
 #include "control/membership.h"
 
 namespace almondquay {
@@ -7,13 +8,23 @@
 namespace {
 
 /// Returns whether the target was not left out before.
-bool leave_out(control_state& state, const event& e, const target_id& id)
+bool leave_out(control_state& state, const event& e, const target_id& id, const host_id& told_by,
+               effects& out)
 {
-    auto& until = state.targets[id].unreachable_until;
-    const bool is_new = until == monotonic_time{};
-    until = e.now + unreachable_time;
-    state.snapshot_is_stale = state.snapshot_is_stale || is_new;
-    return is_new;
+    auto& health = state.targets[id];
+    const bool is_new = health.unreachable_until == monotonic_time{};
+    health.unreachable_until = e.now + unreachable_time;
+    if (!is_new) {
+        return false;
+    }
+    state.snapshot_is_stale = true;
+    decide(state, out, e.wall,
+           {"leave_out_target",
+            "a target that refused a connection of a host of the region gets no work for a while",
+            "Target " + id.value + " refused a connection and is left out.",
+            {},
+            {{"target", id.value}, {"refused", told_by.value}}});
+    return true;
 }
 
 void tell_region(control_state& state, effects& out)
@@ -35,19 +46,21 @@
 
 } // namespace
 
-void note_refused_connection(control_state& state, const event& e, const target_id& id)
+void note_refused_connection(control_state& state, const event& e, const target_id& id,
+                             effects& out)
 {
     // Where hosts have shares of the targets of their own failure domain, each finds out soon.
-    if (state.self.has_inventory && leave_out(state, e, id)) {
+    if (state.self.has_inventory && leave_out(state, e, id, state.self.host, out)) {
         state.unreachable_news.insert(id);
     }
 }
 
-void take_unreachable(control_state& state, const event& e, const std::vector<target_id>& told)
+void take_unreachable(control_state& state, const event& e, const gossip_message& message,
+                      effects& out)
 {
-    for (const auto& id : told) {
+    for (const auto& id : message.unreachable) {
         if (state.fleet.text.targets.contains(id)) {
-            leave_out(state, e, id);
+            leave_out(state, e, id, message.from, out);
             state.unreachable_news.erase(id);
         }
     }
@@ -59,6 +72,12 @@
         if (health.unreachable_until != monotonic_time{} && e.now >= health.unreachable_until) {
             health.unreachable_until = {};
             state.snapshot_is_stale = true;
+            decide(state, out, e.wall,
+                   {"try_target_again",
+                    "a target is left out for a fixed time",
+                    "Target " + id.value + " may get work again.",
+                    {},
+                    {{"target", id.value}}});
         }
     }
     if (!state.unreachable_news.empty()) {
--- a/source/control/unreachable_targets.h
+++ b/source/control/unreachable_targets.h
@@ -17,10 +17,12 @@
 constexpr std::size_t max_unreachable_per_message = 16;
 
 /// A connection of this host was refused.
-void note_refused_connection(control_state& state, const event& e, const target_id& id);
+void note_refused_connection(control_state& state, const event& e, const target_id& id,
+                             effects& out);
 
 /// Another host of the region was refused.
-void take_unreachable(control_state& state, const event& e, const std::vector<target_id>& told);
+void take_unreachable(control_state& state, const event& e, const gossip_message& message,
+                      effects& out);
 
 /// Tells what was noted since the last tick, and takes targets back whose time is over.
 void tick_unreachable(control_state& state, const event& e, effects& out);
