Give each job of session.cpp a unit of its own

Change: caller_reader reads within limits, request_rules says what a header means, lookup answers look-ups, own_answer writes what this host answers itself; session keeps the order of a connection's requests. No behaviour changes.

--- /dev/null
+++ b/source/traffic/caller_reader.cpp
@@ -0,0 +1,209 @@
+#include "traffic/caller_reader.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace almondquay {
+
+namespace {
+
+/// Requests of one connection that run at the same time.
+constexpr std::uint64_t max_pipelined = 16;
+/// How long a closed connection waits for the caller to close it as well, so that bytes still on
+/// their way do not reset it before the last answer has arrived.
+constexpr std::chrono::milliseconds linger_time{1'000};
+constexpr std::chrono::seconds body_timeout{30};
+/// After a refusal the rest of a body up to this size is read, so that the answer arrives before
+/// the connection closes.
+constexpr std::size_t read_ahead_bytes = 4UL * 1024;
+
+/// Ends a read from the caller after a time, but leaves the connection open for a refusal, which
+/// the stream's own timeout does not.
+class read_limit {
+public:
+    read_limit(caller_connection& connection, std::chrono::milliseconds limit)
+        : timer_(connection.stream.get_executor(), limit), state_(std::make_shared<shared_state>())
+    {
+        connection.stream.expires_never();
+        timer_.async_wait([state = state_, &connection](const error_code& problem) {
+            if (!problem && !state->ended) {
+                state->expired = true;
+                connection.stream.cancel();
+            }
+        });
+    }
+    ~read_limit() { state_->ended = true; }
+    read_limit(const read_limit&) = delete;
+    read_limit& operator=(const read_limit&) = delete;
+
+    /// Translates the cancelled read of an expired limit to a timeout.
+    void translate(error_code& problem) const
+    {
+        if (problem && state_->expired) {
+            problem = make_error_code(beast::error::timeout);
+        }
+    }
+
+private:
+    struct shared_state {
+        bool ended = false;
+        bool expired = false;
+    };
+
+    asio::steady_timer timer_;
+    std::shared_ptr<shared_state> state_;
+};
+asio::awaitable<void> send_continue(caller_connection& connection, const caller_parser& parser,
+                                    error_code& problem)
+{
+    const auto expected = parser.get()[beast::http::field::expect];
+    if (beast::iequals(expected, "100-continue")) {
+        beast::http::response<beast::http::empty_body> go_on(beast::http::status::continue_, 11);
+        co_await beast::http::async_write(connection.stream, go_on, into(problem));
+    }
+}
+
+/// Ends an idle connection after a time, but only while none of its requests runs.
+class idle_limit {
+public:
+    idle_limit(caller_connection& connection, std::chrono::milliseconds limit)
+        : state_(boost::intrusive_ptr<shared_state>(new shared_state(connection, limit)))
+    {
+        arm(state_);
+    }
+    ~idle_limit()
+    {
+        state_->connection = nullptr;
+        state_->timer.cancel();
+    }
+    idle_limit(const idle_limit&) = delete;
+    idle_limit& operator=(const idle_limit&) = delete;
+
+private:
+    struct shared_state : boost::intrusive_ref_counter<shared_state, boost::thread_unsafe_counter> {
+        shared_state(caller_connection& c, std::chrono::milliseconds l)
+            : connection(&c), limit(l), timer(c.stream.get_executor())
+        {
+        }
+
+        caller_connection* connection;
+        std::chrono::milliseconds limit;
+        asio::steady_timer timer;
+    };
+
+    static void arm(const boost::intrusive_ptr<shared_state>& state)
+    {
+        state->timer.expires_after(state->limit);
+        state->timer.async_wait([state](const error_code& problem) {
+            if (problem || state->connection == nullptr) {
+                return;
+            }
+            if (state->connection->is_busy()) {
+                arm(state);
+                return;
+            }
+            state->connection->closing = true;
+            state->connection->stream.cancel();
+        });
+    }
+
+    boost::intrusive_ptr<shared_state> state_;
+};
+
+} // namespace
+
+result_code code_of_read_failure(const error_code& problem)
+{
+    if (problem == beast::http::error::header_limit) {
+        return result_code::request_header_too_large;
+    }
+    if (problem == beast::error::timeout) {
+        return result_code::request_too_slow;
+    }
+    return result_code::request_malformed;
+}
+
+bool is_plain_close(const error_code& problem)
+{
+    return problem == beast::http::error::end_of_stream ||
+           problem == beast::http::error::partial_message ||
+           problem.category() == boost::asio::error::get_system_category() ||
+           problem == asio::error::eof;
+}
+
+asio::awaitable<void> read_body(caller_request& request, error_code& problem)
+{
+    if (request.parser->is_done()) {
+        request.body_is_complete = true;
+        co_return;
+    }
+    co_await send_continue(*request.caller, *request.parser, problem);
+    const auto length = request.parser->content_length().value_or(body_piece_bytes);
+    request.body.resize(std::min<std::uint64_t>(length, body_piece_bytes));
+    auto& body = request.parser->get().body();
+    body.data = request.body.data();
+    body.size = request.body.size();
+    const read_limit limit(*request.caller, body_timeout);
+    co_await beast::http::async_read(request.caller->stream, request.caller->buffer,
+                                     *request.parser, into(problem));
+    limit.translate(problem);
+    if (problem == beast::http::error::need_buffer) {
+        problem = {};
+    }
+    request.body.resize(request.body.size() - body.size);
+    request.body_is_complete = request.parser->is_done();
+}
+
+asio::awaitable<bool> wait_for_request(worker& w, caller_connection& connection)
+{
+    while (connection.next_turn - connection.answering >= max_pipelined && !connection.gone) {
+        co_await wait_for_change(connection);
+    }
+    if (connection.closing || connection.gone) {
+        co_return false;
+    }
+    if (connection.buffer.size() != 0) {
+        co_return true;
+    }
+    if (w.stopping && !connection.is_busy()) {
+        co_return false;
+    }
+    error_code problem;
+    const auto limit = w.snapshot ? w.snapshot->limits.idle_time : caller_limits().idle_time;
+    const idle_limit idle(connection, limit);
+    connection.stream.expires_never();
+    const auto got = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(read_ahead_bytes), into(problem));
+    connection.buffer.commit(got);
+    if (problem && !connection.closing) {
+        note_gone(connection);
+    }
+    co_return !problem && !connection.closing;
+}
+
+asio::awaitable<void> read_request_header(const worker& w, caller_connection& connection,
+                                          caller_parser& parser, error_code& problem)
+{
+    const auto& limits = w.snapshot ? w.snapshot->limits : caller_limits();
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    const read_limit limit(connection, limits.header_time);
+    co_await beast::http::async_read_header(connection.stream, connection.buffer, parser,
+                                            into(problem));
+    limit.translate(problem);
+}
+
+asio::awaitable<void> linger(caller_connection& connection)
+{
+    error_code problem;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, problem);
+    connection.stream.expires_after(linger_time);
+    connection.buffer.clear();
+    while (!problem) {
+        connection.buffer.clear();
+        co_await connection.stream.async_read_some(connection.buffer.prepare(read_ahead_bytes),
+                                                   into(problem));
+    }
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/lookup.cpp
@@ -0,0 +1,83 @@
+#include "traffic/lookup.h"
+
+#include "http/message.h"
+#include "traffic/own_answer.h"
+
+namespace almondquay {
+
+namespace {
+
+/// Callers say where they are, or their address tells; who cannot be placed is near this host.
+region_id region_of_caller(const worker& w, const std::vector<http::header>& parameters)
+{
+    const auto domain = w.snapshot->regions.find(
+        failure_domain_id(std::string(http::header_of(parameters, "zone"))));
+    if (domain != w.snapshot->regions.end()) {
+        return domain->second;
+    }
+    region_id named(std::string(http::header_of(parameters, "region")));
+    return w.snapshot->entry_hosts.contains(named) ? named : w.snapshot->home;
+}
+
+/// The body of a look-up answer, or nothing if the service is unknown.
+std::optional<std::string> lookup_answer_for(const worker& w, const caller_connection& connection,
+                                             const http::path_parts& parts)
+{
+    const auto& profile = *w.context.profile;
+    if (profile.encode_lookup != nullptr) {
+        const auto hosts = w.snapshot->entry_hosts.find(region_of_caller(w, parts.parameters));
+        if (hosts == w.snapshot->entry_hosts.end() || hosts->second.empty()) {
+            return std::nullopt;
+        }
+        return profile.encode_lookup(hosts->second, w.context.budgets.lookup_ttl);
+    }
+    auto block = std::string(http::header_of(parts.parameters, "block"));
+    if (block.empty()) {
+        error_code ignored;
+        block = connection.stream.socket().remote_endpoint(ignored).address().to_string();
+    }
+    const auto* found =
+        find_lookup_answer(*w.snapshot, http::header_of(parts.parameters, "service"), block);
+    return found == nullptr ? std::nullopt : std::optional<std::string>(*found);
+}
+
+} // namespace
+
+bool is_ready(const worker& w)
+{
+    return w.snapshot && w.snapshot->ready;
+}
+
+asio::awaitable<void> answer_lookup(worker& w, caller_connection& connection, std::uint64_t turn,
+                                    const caller_parser& parser)
+{
+    const auto target = parser.get().target();
+    const auto parts = http::split_path({target.data(), target.size()});
+    const bool keep_alive = parser.get().keep_alive();
+    const auto found = is_ready(w) ? lookup_answer_for(w, connection, parts) : std::nullopt;
+    if (!found) {
+        const bool is_unknown = is_ready(w) && w.context.profile->encode_lookup == nullptr;
+        const auto code = is_unknown ? result_code::service_unknown : result_code::host_not_ready;
+        co_await refuse(w, connection, turn, refused_end(code), keep_alive);
+        co_return;
+    }
+    small_response answer;
+    answer.version(11);
+    answer.result(beast::http::status::ok);
+    answer.set(beast::http::field::content_type, "application/json");
+    answer.body() = *found;
+    co_await write_small(w, connection, turn, answer, keep_alive);
+}
+
+asio::awaitable<void> answer_readiness(worker& w, caller_connection& connection, std::uint64_t turn,
+                                       const caller_parser& parser)
+{
+    small_response answer;
+    answer.version(11);
+    const bool takes_callers = is_ready(w) && !w.snapshot->leaving && !w.stopping;
+    answer.result(takes_callers ? beast::http::status::ok
+                                : beast::http::status::service_unavailable);
+    co_await write_small(w, connection, turn, answer, parser.get().keep_alive());
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/own_answer.cpp
@@ -0,0 +1,94 @@
+#include "traffic/own_answer.h"
+
+#include "traffic/outcome.h"
+
+#include <array>
+#include <cstdio>
+
+namespace almondquay {
+
+namespace {
+
+/// What a refused caller is told when nothing better is known.
+constexpr std::chrono::milliseconds default_retry_after{300};
+constexpr double ms_per_second = 1'000;
+constexpr std::chrono::seconds write_timeout{30};
+
+std::string seconds_text(std::chrono::milliseconds time)
+{
+    std::array<char, 32> text{};
+    const auto size = std::snprintf(text.data(), text.size(), "%.3f",
+                                    static_cast<double>(time.count()) / ms_per_second);
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
+small_response make_refusal(const worker& w, result_code code, outcome what,
+                            std::chrono::milliseconds retry_after)
+{
+    small_response answer;
+    answer.version(11);
+    answer.result(status_of(code));
+    answer.set(beast::http::field::content_type, "application/json");
+    if (w.context.profile->tells_outcome) {
+        answer.set(outcome_header, name_of(what));
+        answer.set(result_header, std::to_string(static_cast<int>(code)));
+        answer.set(host_header, w.context.host.value);
+    }
+    if (answer.result() == beast::http::status::service_unavailable) {
+        const auto time = retry_after.count() != 0 ? retry_after : default_retry_after;
+        answer.set(beast::http::field::retry_after, seconds_text(time));
+    }
+    answer.body() = refusal_body(code, what);
+    return answer;
+}
+
+} // namespace
+
+asio::awaitable<void> write_small(worker& w, caller_connection& connection, std::uint64_t turn,
+                                  small_response& answer, bool keep_alive)
+{
+    const bool is_due = co_await wait_for_turn(connection, turn);
+    if (!is_due) {
+        co_return;
+    }
+    const bool is_ending = w.stopping || (w.snapshot && w.snapshot->leaving);
+    const bool closes = !keep_alive || (is_ending && is_last(connection, turn));
+    connection.closing = connection.closing || closes;
+    answer.keep_alive(!closes);
+    answer.prepare_payload();
+    connection.stream.expires_after(write_timeout);
+    error_code problem;
+    co_await beast::http::async_write(connection.stream, answer, into(problem));
+    if (problem) {
+        note_gone(connection);
+    }
+}
+
+asio::awaitable<void> refuse(worker& w, caller_connection& connection, std::uint64_t turn,
+                             const forward_end& end, bool keep_alive)
+{
+    auto refusal = make_refusal(w, end.code, end.what, end.retry_after);
+    co_await write_small(w, connection, turn, refusal, keep_alive);
+}
+
+forward_end refused_end(result_code code)
+{
+    return {code, outcome::not_run, false, true, std::nullopt};
+}
+
+asio::awaitable<void> replay(worker& w, caller_connection& connection, std::uint64_t turn,
+                             claim_answer kept, bool keep_alive)
+{
+    small_response answer;
+    answer.version(11);
+    answer.result(kept.status);
+    answer.set(beast::http::field::content_type, kept.content_type);
+    answer.set(outcome_header, name_of(outcome::ran));
+    answer.set(result_header, "0");
+    answer.set(replayed_header, "yes");
+    answer.set(host_header, w.context.host.value);
+    answer.body() = std::move(kept.body);
+    co_await write_small(w, connection, turn, answer, keep_alive);
+}
+
+} // namespace almondquay
--- /dev/null
+++ b/source/traffic/request_rules.cpp
@@ -0,0 +1,141 @@
+#include "traffic/request_rules.h"
+
+#include "traffic/lookup.h"
+#include "traffic/spill.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <xxhash.h>
+
+namespace almondquay {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+/// One of so many requests is logged also if it succeeds.
+constexpr std::uint64_t sampled_requests = 20;
+
+/// The service is the first label of the Host header: "ledger" or "ledger.example:80".
+std::string service_of(const caller_parser& parser)
+{
+    const auto value = parser.get()[beast::http::field::host];
+    const std::string_view host(value.data(), value.size());
+    return std::string(host.substr(0, host.find_first_of(".:")));
+}
+
+std::chrono::milliseconds deadline_of(const worker& w, const caller_parser& parser,
+                                      std::chrono::milliseconds longest)
+{
+    const auto value = parser.get()[w.context.profile->deadline_header];
+    std::int64_t asked = 0;
+    const auto [end, problem] = std::from_chars(value.data(), value.data() + value.size(), asked);
+    const bool is_good = problem == std::errc{} && end == value.data() + value.size() && asked > 0;
+    return is_good ? std::min(longest, std::chrono::milliseconds(asked)) : longest;
+}
+
+const route_rule* rule_for(const worker& w, const caller_parser& parser)
+{
+    const auto host = parser.get()[beast::http::field::host];
+    const auto path = parser.get().target();
+    return find_rule(*w.snapshot->routes, {host.data(), host.size()}, {path.data(), path.size()});
+}
+
+bool has_rules(const worker& w)
+{
+    return w.snapshot->routes && !w.snapshot->routes->by_host.empty();
+}
+
+/// The value of a cookie, or an empty text.
+std::string cookie_of(const caller_parser& parser, std::string_view name)
+{
+    std::string cookies(";"); // The list refers to this text.
+    cookies += parser.get()[beast::http::field::cookie];
+    for (const auto& cookie : beast::http::param_list(cookies)) {
+        if (std::string_view(cookie.first.data(), cookie.first.size()) == name) {
+            return std::string(cookie.second);
+        }
+    }
+    return {};
+}
+
+void apply_rule(worker& w, caller_request& request)
+{
+    const auto& rule = *request.rule;
+    request.service = choose_part(rule, w.random);
+    request.deadline = request.started + deadline_of(w, *request.parser, rule.timeout);
+    request.repeatable = rule.repeatable;
+    const auto object = rule.by_object
+                            ? cookie_of(*request.parser, w.context.profile->object_cookie)
+                            : std::string();
+    if (!object.empty()) {
+        const auto key = rule.path_prefix + object;
+        request.object = XXH3_64bits(key.data(), key.size());
+    }
+}
+
+void apply_service(const worker& w, caller_request& request)
+{
+    const auto& head = request.parser->get();
+    const auto& definition = w.snapshot->services.find(request.service)->second.definition;
+    const auto method = head.method_string();
+    const auto path = head.target();
+    request.deadline = request.started + deadline_of(w, *request.parser, definition.deadline);
+    request.repeatable =
+        is_repeatable(definition, {method.data(), method.size()}, {path.data(), path.size()});
+    request.is_spilled = is_spilled(w, request.service, head);
+}
+
+} // namespace
+
+result_code check_request(const worker& w, const caller_parser& parser, const route_rule*& rule)
+{
+    if (!is_ready(w)) {
+        return result_code::host_not_ready;
+    }
+    if (has_rules(w)) {
+        rule = rule_for(w, parser);
+        return rule == nullptr ? result_code::route_unknown : result_code::ok;
+    }
+    return w.snapshot->services.contains(service_of(parser)) ? result_code::ok
+                                                             : result_code::service_unknown;
+}
+
+void fill_request(worker& w, caller_connection& connection, caller_parser& parser,
+                  const route_rule* rule, caller_request& request)
+{
+    request.caller = &connection;
+    request.parser = &parser;
+    request.snapshot = w.snapshot;
+    request.rule = rule;
+    request.started = clock::now();
+    request.keep_alive = parser.get().keep_alive();
+    request.is_sampled = w.requests_read++ % sampled_requests == 0;
+    request.id = request_id_of(w, parser);
+    if (rule != nullptr) {
+        apply_rule(w, request);
+    } else {
+        request.service = service_of(parser);
+        apply_service(w, request);
+    }
+}
+
+std::string request_id_of(const worker& w, const caller_parser& parser)
+{
+    const auto name = w.context.profile->request_id_header;
+    return name.empty() ? std::string() : std::string(parser.get()[name]);
+}
+
+request_fingerprint fingerprint_of(const caller_request& request)
+{
+    const auto& head = request.parser->get();
+    std::string text = request.service + " ";
+    text += head.method_string();
+    text += ' ';
+    text += head.target();
+    text += request.body;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace almondquay
