Log every refusal with its inputs, and failures before successes

Cause: a request refused before its route was known, for a body that could not be read, or because no target could answer in time left no line with its inputs; attempts at a host's own share of targets left none at all; sampled successes used up the same 60 lines a second as failures. Change: request_refused, placement_refused (predicted wait, work, what is left, age of the report), attempt_failed for all attempts, with the target's queue and the age of its report; successes have 20 lines a second of their own.

--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -121,6 +121,7 @@
         return std::nullopt;
     }
     if (chosen.is_refused) {
+        log_placement_refused(w, request, chosen, wish);
         refused.code = result_code::overloaded;
         refused.retry_after = std::max(chosen.wait, shortest_retry_after);
         return std::nullopt;
@@ -281,7 +282,9 @@
         co_return std::nullopt;
     }
     const slot_guard guard(*w.context.slots, std::move(*taken));
+    const auto sent = clock::now();
     auto tried = co_await attempt(w, request, guard.held);
+    log_attempt(w, request, guard.held, tried, clock::now() - sent);
     // A failed kept connection says little about its target, so that one may be tried again.
     if (tried.what == outcome::not_run) {
         excluded.push_back(guard.held.target);
--- a/source/traffic/request_log.cpp
+++ b/source/traffic/request_log.cpp
@@ -8,15 +8,19 @@
 
 using clock = std::chrono::steady_clock;
 
-constexpr unsigned lines_per_second = 60;
+/// Of each thread. Successes have less room, so that they never displace failures.
+constexpr unsigned failure_lines_per_second = 60;
+constexpr unsigned success_lines_per_second = 20;
+
+enum class line_kind { success, failure };
 
 std::string milliseconds_text(clock::duration d)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
 }
 
-/// Whether one more line may be written this second.
-bool take_line(worker& w)
+/// Whether one more line of this kind may be written this second.
+bool take_line(worker& w, line_kind kind)
 {
     const auto now = clock::now();
     if (now - w.log_window_start >= std::chrono::seconds(1)) {
@@ -25,17 +29,26 @@
                        {{"lines", std::to_string(w.log_lines_dropped)}});
         }
         w.log_window_start = now;
-        w.log_lines = 0;
+        w.failure_lines = 0;
+        w.success_lines = 0;
         w.log_lines_dropped = 0;
     }
-    if (w.log_lines >= lines_per_second) {
-        ++w.log_lines_dropped;
+    const bool is_failure = kind == line_kind::failure;
+    auto& lines = is_failure ? w.failure_lines : w.success_lines;
+    if (lines >= (is_failure ? failure_lines_per_second : success_lines_per_second)) {
+        w.log_lines_dropped += is_failure ? 1 : 0;
         return false;
     }
-    ++w.log_lines;
+    ++lines;
     return true;
 }
 
+/// How old the latest report of a target's load is; empty if there is none.
+std::string age_text(const target_load& load, clock::time_point now)
+{
+    return load.reported == clock::time_point{} ? "" : milliseconds_text(now - load.reported);
+}
+
 std::string generation_of(const caller_request& request)
 {
     return request.snapshot ? std::to_string(request.snapshot->in_force.value) : "0";
@@ -45,7 +58,7 @@
 
 void log_placement(worker& w, const caller_request& request, const placement& chosen)
 {
-    if (!request.is_sampled || !take_line(w)) {
+    if (!request.is_sampled || !take_line(w, line_kind::success)) {
         return;
     }
     const auto& load = w.loads[chosen.target->id];
@@ -57,18 +70,19 @@
                 {"predicted_wait_ms", std::to_string(chosen.wait.count())},
                 {"in_flight", std::to_string(load.in_flight)},
                 {"mean_queue", std::to_string(load.waiting_mean)},
-                {"report_age_ms", milliseconds_text(now - load.reported)},
+                {"report_age_ms", age_text(load, now)},
                 {"handed_over", std::to_string(handed_over_share(load, now))}});
 }
 
 void log_attempt(worker& w, const caller_request& request, const slot& used, const forward_end& end,
                  clock::duration took)
 {
-    if (end.code == result_code::ok || !take_line(w)) {
+    if (end.code == result_code::ok || !take_line(w, line_kind::failure)) {
         return;
     }
     const auto load = w.loads.find(used.target);
-    const auto in_flight = load == w.loads.end() ? 0 : load->second.in_flight;
+    const auto known = load == w.loads.end() ? target_load() : load->second;
+    const auto now = clock::now();
     log::write(log::level::info, "attempt_failed",
                {{"request", request.id},
                 {"service", request.service},
@@ -76,17 +90,50 @@
                 {"result", std::string(name_of(end.code))},
                 {"outcome", std::string(name_of(end.what))},
                 {"took_ms", milliseconds_text(took)},
-                {"in_flight", std::to_string(in_flight)},
+                {"in_flight", std::to_string(known.in_flight)},
+                {"waiting", std::to_string(known.waiting)},
+                {"report_age_ms", age_text(known, now)},
                 {"generation", generation_of(request)}});
 }
 
+void log_placement_refused(worker& w, const caller_request& request, const placement& chosen,
+                           const placement_wish& wish)
+{
+    if (!take_line(w, line_kind::failure)) {
+        return;
+    }
+    const auto load = w.loads.find(chosen.target->id);
+    const auto known = load == w.loads.end() ? target_load() : load->second;
+    log::write(log::level::info, "placement_refused",
+               {{"request", request.id},
+                {"service", request.service},
+                {"target", chosen.target->id.value},
+                {"predicted_wait_ms", std::to_string(chosen.wait.count())},
+                {"work_ms", std::to_string(wish.work.count())},
+                {"objective_ms", std::to_string(wish.objective.count())},
+                {"left_ms", std::to_string(wish.time_left.count())},
+                {"mean_queue", std::to_string(known.waiting_mean)},
+                {"report_age_ms", age_text(known, clock::now())}});
+}
+
+void log_refused(worker& w, const std::string& request, result_code code)
+{
+    if (!take_line(w, line_kind::failure)) {
+        return;
+    }
+    log::write(log::level::info, "request_refused",
+               {{"request", request},
+                {"result", std::string(name_of(code))},
+                {"generation", std::to_string(w.snapshot ? w.snapshot->in_force.value : 0)}});
+}
+
 void log_end(worker& w, const caller_request& request, const forward_end& end)
 {
     const bool is_success = end.code == result_code::ok;
     if (is_success && !request.is_sampled) {
         return;
     }
-    if (!take_line(w)) {
+    if (!take_line(w, is_success ? line_kind::success : line_kind::failure)) {
         return;
     }
     const auto now = clock::now();
@@ -98,6 +145,7 @@
                 {"outcome", std::string(name_of(end.what))},
                 {"took_ms", milliseconds_text(now - request.started)},
                 {"left_ms", milliseconds_text(request.deadline - now)},
+                {"retry_after_ms", std::to_string(end.retry_after.count())},
                 {"generation", generation_of(request)}});
 }
 
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -105,10 +105,12 @@
         const auto code = code_of_read_failure(problem);
         count(w, request, code);
         if (is_plain_close(problem) && problem != beast::error::timeout) {
+            log_refused(w, request.id, result_code::caller_gone);
             note_gone(connection);
             ++connection.answering;
             co_return;
         }
+        log_refused(w, request.id, code);
         co_await refuse_and_close(w, connection, request.turn, code);
         co_return;
     }
@@ -159,6 +161,7 @@
     if (problem) {
         const auto code = code_of_read_failure(problem);
         count_refused(w, code);
+        log_refused(w, {}, code);
         co_await refuse_and_close(w, connection, turn, code);
         co_return false;
     }
@@ -176,6 +179,7 @@
     const auto refused = check_request(w, parser, rule);
     if (refused != result_code::ok) {
         count_refused(w, refused);
+        log_refused(w, request_id_of(w, parser), refused);
         const bool keep_alive = parser.is_done() && parser.get().keep_alive();
         co_await refuse(w, connection, turn, refused_end(refused), keep_alive);
         end_turn(connection);
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -74,8 +74,9 @@
     std::map<std::string, double, std::less<>> slowest_answers; ///< ms, by service; see note_answer
     std::mt19937_64 random;
     std::chrono::steady_clock::time_point log_window_start{};
-    unsigned log_lines = 0; ///< in this window
-    std::uint64_t log_lines_dropped = 0;
+    unsigned failure_lines = 0; ///< in this window
+    unsigned success_lines = 0;
+    std::uint64_t log_lines_dropped = 0;             ///< about failures
     std::uint64_t requests_read = 0;                 ///< for sampling
     std::map<target_id, unsigned> failing;           ///< failures in a row seen by this thread
     std::map<std::uint64_t, verdict_wait*> verdicts; ///< by request
