Name in each decision's inputs what it is about

Cause: which target, host or failure domain a decision concerns stood only in its sentence, and a regained store did not say how long it had been away. Change: inputs target, host, failure_domain and away_ms. control_test passes. Conclusion: no change of behaviour; a program can read the log without parsing sentences.

--- a/source/control/inventory_items.cpp
+++ b/source/control/inventory_items.cpp
@@ -37,7 +37,8 @@
     }
     state.targets.erase(id);
     state.snapshot_is_stale = true;
-    decide(state, out, e.wall, {"target_gone", rule, "Target " + id.value + " is gone.", {}, {}});
+    decide(state, out, e.wall,
+           {"target_gone", rule, "Target " + id.value + " is gone.", {}, {{"target", id.value}}});
 }
 
 /// Entries lapse while the store is away, so a target that is missed soon after its return has the
@@ -123,7 +124,8 @@
             "Target " + id.value + " of " + entry.what.serves.value +
                 (entry.what.leaving ? " is leaving." : " is listed."),
             {},
-            {{"life", std::to_string(entry.what.life.value)},
+            {{"target", id.value},
+             {"life", std::to_string(entry.what.life.value)},
              {"cold_ms", std::to_string(entry.cold_left.count())}}});
 }
 
@@ -149,7 +151,7 @@
             "targets of an evacuated failure domain get nothing new",
             "Failure domain " + domain.value + (begins ? " is evacuated." : " is taken back."),
             {},
-            {}});
+            {{"failure_domain", domain.value}}});
 }
 
 void take_host(control_state& state, const host& h)
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -106,12 +106,16 @@
     if (!changed) {
         return;
     }
+    const auto before =
+        std::exchange(state.inventory.away_since, answers ? monotonic_time{} : e.now);
+    const auto away = before == monotonic_time{} ? monotonic_time::duration{} : e.now - before;
+    const auto away_ms = std::chrono::duration_cast<std::chrono::milliseconds>(away).count();
     decide(state, out, e.wall,
            {answers ? "store_answers" : "store_away",
             "what is known stays in force while the store is away",
             answers ? "The store answers." : "The store does not answer.",
             {},
-            {{"why", why}}});
+            {{"away_ms", std::to_string(away_ms)}, {"why", why}}});
 }
 
 void take_failure(control_state& state, const event& e, inventory_list& list, const error& problem,
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -193,7 +193,8 @@
                 "a host without a newer beat for the timeout is taken for dead",
                 "Host " + id.value + " is taken for dead and leaves the look-up answers.",
                 {},
-                {{"silence_ms", std::to_string(silence.count())},
+                {{"host", id.value},
+                 {"silence_ms", std::to_string(silence.count())},
                  {"incarnation", std::to_string(m.life.value)}}});
 }
 
@@ -208,7 +209,7 @@
                 "a host with a newer beat is alive",
                 "Host " + beat.id.value + what + (beat.leaving ? " and is leaving." : "."),
                 {},
-                {{"incarnation", std::to_string(beat.life.value)}}});
+                {{"host", beat.id.value}, {"incarnation", std::to_string(beat.life.value)}}});
 }
 
 /// A host that others take for dead is dead here too, unless a newer beat than theirs is known. One
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -139,6 +139,7 @@
     std::map<target_id, monotonic_time> missing; ///< when targets that are no longer listed go
     std::set<std::string> unreadable;            ///< entries that were logged as such
     monotonic_time last_failure{};               ///< of any call to the store
+    monotonic_time away_since{};                 ///< zero: the store answers, or never did
     monotonic_time answers_since{};              ///< when the store answered again after a failure
     monotonic_time next_peer_question{};
     monotonic_time next_starting_question{};
--- a/source/control/target_health.cpp
+++ b/source/control/target_health.cpp
@@ -37,7 +37,8 @@
                 "a target that failed several times in a row gets no work",
                 "Target " + report.target.value + " gets no work until probes succeed.",
                 {state.fleet.adopted_by},
-                {{"failures", std::to_string(health.failures)},
+                {{"target", report.target.value},
+                 {"failures", std::to_string(health.failures)},
                  {"latest", std::string(name_of(report.evidence))}}});
 }
 
@@ -56,12 +57,13 @@
                 std::max(listed->second.cold_until, e.now + s->second.cold_time);
         }
     }
-    health.decided_by = decide(state, out, e.wall,
-                               {"readmit_target",
-                                "an ejected target that answers several probes gets work again",
-                                "Target " + id.value + " gets work again.",
-                                {health.decided_by},
-                                {{"good_probes", std::to_string(health.good_probes)}}});
+    health.decided_by =
+        decide(state, out, e.wall,
+               {"readmit_target",
+                "an ejected target that answers several probes gets work again",
+                "Target " + id.value + " gets work again.",
+                {health.decided_by},
+                {{"target", id.value}, {"good_probes", std::to_string(health.good_probes)}}});
 }
 
 std::string health_path(const control_state& state, const target& t)
