Give a caller no longer for its body than its request has

Cause: the new test of callers that send without end found that a body sent in drops (chunk extensions, chunk sizes, trailers, small chunks, a body that stalls after its first piece) kept its connection, and behind the first piece also a target's slot, for 30 s a piece on a route of 2 s. Ruled out: header limits (all header shapes ended in time), memory (bounded).

Change: the next piece of a body must come within what the request has left of its deadline; its caller is then refused (request_too_slow) or told that the deadline has passed, instead of losing its connection without a word.

--- a/source/traffic/caller_reader.cpp
+++ b/source/traffic/caller_reader.cpp
@@ -17,42 +17,6 @@
 /// the connection closes.
 constexpr std::size_t read_ahead_bytes = 4UL * 1024;
 
-/// Ends a read from the caller after a time, but leaves the connection open for a refusal, which
-/// the stream's own timeout does not.
-class read_limit {
-public:
-    read_limit(caller_connection& connection, std::chrono::milliseconds limit)
-        : timer_(connection.stream.get_executor(), limit), state_(std::make_shared<shared_state>())
-    {
-        connection.stream.expires_never();
-        timer_.async_wait([state = state_, &connection](const error_code& problem) {
-            if (!problem && !state->ended) {
-                state->expired = true;
-                connection.stream.cancel();
-            }
-        });
-    }
-    ~read_limit() { state_->ended = true; }
-    read_limit(const read_limit&) = delete;
-    read_limit& operator=(const read_limit&) = delete;
-
-    /// Translates the cancelled read of an expired limit to a timeout.
-    void translate(error_code& problem) const
-    {
-        if (problem && state_->expired) {
-            problem = make_error_code(beast::error::timeout);
-        }
-    }
-
-private:
-    struct shared_state {
-        bool ended = false;
-        bool expired = false;
-    };
-
-    asio::steady_timer timer_;
-    std::shared_ptr<shared_state> state_;
-};
 asio::awaitable<void> send_continue(caller_connection& connection, const caller_parser& parser,
                                     error_code& problem)
 {
@@ -112,6 +76,13 @@
 
 } // namespace
 
+std::chrono::milliseconds time_for_body(const caller_request& request)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        request.deadline - std::chrono::steady_clock::now());
+    return std::clamp(left, std::chrono::milliseconds{0}, std::chrono::milliseconds{body_timeout});
+}
+
 result_code code_of_read_failure(const error_code& problem)
 {
     if (problem == beast::http::error::header_limit) {
@@ -143,7 +114,7 @@
     auto& body = request.parser->get().body();
     body.data = request.body.data();
     body.size = request.body.size();
-    const read_limit limit(*request.caller, body_timeout);
+    const read_limit limit(*request.caller, time_for_body(request));
     co_await beast::http::async_read(request.caller->stream, request.caller->buffer,
                                      *request.parser, into(problem));
     limit.translate(problem);
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -1,5 +1,6 @@
 #include "traffic/exchange.h"
 
+#include "traffic/caller_reader.h"
 #include "traffic/spill.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
 
 constexpr std::uint32_t max_answer_header_bytes = 64U * 1024;
 constexpr std::chrono::seconds caller_write_timeout{30};
-constexpr std::chrono::seconds caller_read_timeout{30};
 /// A repeatable request gets this part of its time before it is tried on another connection, if
 /// its own one may have gone silent.
 constexpr int doubted_connection_part = 3;
@@ -104,9 +104,10 @@
         auto& source = request.parser->get().body();
         source.data = piece.data();
         source.size = piece.size();
-        request.caller->stream.expires_after(caller_read_timeout);
+        const read_limit limit(*request.caller, time_for_body(request));
         co_await beast::http::async_read(request.caller->stream, request.caller->buffer,
                                          *request.parser, into(problem));
+        limit.translate(problem);
         if (problem && problem != beast::http::error::need_buffer) {
             co_return;
         }
--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -85,11 +85,12 @@
     for (const auto& [key, runs] : t.runs_by_key) {
         repeated += runs > 1 ? 1 : 0;
     }
-    return "runs " + std::to_string(t.runs) + "\nmost_in_flight " +
-           std::to_string(t.most_in_flight) + "\nover_limit " + std::to_string(t.over_limit) +
-           "\nkeys " + std::to_string(t.runs_by_key.size()) + "\nrepeated_keys " +
-           std::to_string(repeated) + "\ncancelled " + std::to_string(t.cancelled) +
-           "\nmost_connections " + std::to_string(t.most_connections) + "\n";
+    return "runs " + std::to_string(t.runs) + "\nin_flight " + std::to_string(t.in_flight) +
+           "\nmost_in_flight " + std::to_string(t.most_in_flight) + "\nover_limit " +
+           std::to_string(t.over_limit) + "\nkeys " + std::to_string(t.runs_by_key.size()) +
+           "\nrepeated_keys " + std::to_string(repeated) + "\ncancelled " +
+           std::to_string(t.cancelled) + "\nmost_connections " +
+           std::to_string(t.most_connections) + "\n";
 }
 
 /// One line for each run of each key, to be counted over all targets.
