Keep a log line one line, whatever its values hold

Cause: log::write called quoted() without its namespace; for a std::string the standard library's function of that name fits better, so values were always quoted and control characters stayed as they were. A value with a line break made two lines, and one could forge a line of another event. Change: the function is called quoted_value. target_listed says whether the target is leaving.

--- a/source/control/inventory_items.cpp
+++ b/source/control/inventory_items.cpp
@@ -126,6 +126,7 @@
             {},
             {{"target", id.value},
              {"life", std::to_string(entry.what.life.value)},
+             {"leaving", entry.what.leaving ? "yes" : "no"},
              {"cold_ms", std::to_string(entry.cold_left.count())}}});
 }
 
--- a/source/logging/log.cpp
+++ b/source/logging/log.cpp
@@ -51,7 +51,7 @@
     const auto now = boost::posix_time::microsec_clock::universal_time();
     std::string head = "time=" + boost::posix_time::to_iso_extended_string(now) + "Z level=";
     head += severity;
-    head += " process=" + log::quoted(process_name()) + " event=";
+    head += " process=" + quoted_value(process_name()) + " event=";
     head += event;
     return head;
 }
@@ -110,7 +110,7 @@
     boost::log::record_ostream stream(record);
     stream << head_of(boost::log::trivial::to_string(severity), event);
     for (const auto& f : fields) {
-        stream << ' ' << f.key << '=' << quoted(f.value);
+        stream << ' ' << f.key << '=' << quoted_value(f.value);
     }
     stream.flush();
     logger.push_record(std::move(record));
@@ -127,7 +127,7 @@
     return word == "error" ? level::error : level::info;
 }
 
-std::string quoted(std::string_view value)
+std::string quoted_value(std::string_view value)
 {
     const auto is_plain = [](unsigned char c) {
         return std::isgraph(c) != 0 && c != '"' && c != '=' && c != '\\';
--- a/source/logging/log.h
+++ b/source/logging/log.h
@@ -31,6 +31,6 @@
 level parse_level(std::string_view word);
 
 /// The value as it is written in a log line.
-std::string quoted(std::string_view value);
+std::string quoted_value(std::string_view value);
 
 } // namespace almondquay::log
