Tell from hosts' logs why a request ended as it did

Change: a library `trace` and two commands. `almondquay trace ID [LOG...]` merges the lines of many hosts (files, folders, standard input, also behind a collector's prefix), keeps each host's order when its clock jumps, and prints the cause first, then the lines and the decisions of the same hosts around them. `almondquay believed HOST TIME [LOG...]` prints what a host had in force then.

--- a/source/almondquay/command_line.cpp
+++ b/source/almondquay/command_line.cpp
@@ -16,6 +16,7 @@
     command_name name;
     std::size_t operands;
     std::string_view usage;
+    bool takes_logs = false; ///< any number of paths may follow
 };
 
 constexpr auto commands = std::to_array<command_row>({
@@ -35,6 +36,10 @@
      "explain ID                  a decision with all that led to it"},
     {"release", command_name::release, 1,
      "release FINGERPRINT         take a request out of quarantine"},
+    {"trace", command_name::trace, 1,
+     "trace ID [LOG...]           why a request ended as it did, from hosts' logs", true},
+    {"believed", command_name::believed, 2,
+     "believed HOST TIME [LOG...] what a host had in force at a time, from its log", true},
 });
 
 std::string usage()
@@ -44,10 +49,13 @@
         text += "  " + std::string(row.usage) + "\n";
     }
     return text + "\noptions:\n"
-                  "  --settings FILE             the tool's INI file (not needed by check)\n"
+                  "  --settings FILE             the tool's INI file (not needed by check, trace\n"
+                  "                              and believed)\n"
                   "  --reason TEXT               why, for the people who ask tomorrow\n"
                   "  --read-at N                 the generation that `show` printed\n"
                   "  --json                      output for programs\n\n"
+                  "LOG is a file or a folder with files; without any, logs are read from standard\n"
+                  "input. TIME is as in the logs: 2026-04-26T10:37:56Z.\n"
                   "The exit status is the first digit of the result code; 0 is success.\n";
 }
 
@@ -73,6 +81,15 @@
     case command_name::release:
         parsed.subject = words[1];
         break;
+    case command_name::trace:
+        parsed.subject = words[1];
+        parsed.logs.assign(words.begin() + 2, words.end());
+        break;
+    case command_name::believed:
+        parsed.subject = words[1];
+        parsed.at = words[2];
+        parsed.logs.assign(words.begin() + 3, words.end());
+        break;
     case command_name::drain:
     case command_name::undrain: {
         const auto kind = parse_drain_kind(words[1]);
@@ -108,7 +125,10 @@
         return error{result_code::usage_error, ""};
     }
     const auto row = std::ranges::find(commands, words.front(), &command_row::word);
-    if (row == commands.end() || words.size() != row->operands + 1) {
+    const bool is_known = row != commands.end();
+    const bool has_operands = is_known && (row->takes_logs ? words.size() > row->operands
+                                                           : words.size() == row->operands + 1);
+    if (!has_operands) {
         return error{result_code::usage_error, "'" + words.front() + "' is not used like this"};
     }
     command_line parsed;
--- a/source/almondquay/command_line.h
+++ b/source/almondquay/command_line.h
@@ -6,10 +6,23 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace almondquay {
 
-enum class command_name { check, apply, show, status, drain, undrain, timeline, explain, release };
+enum class command_name {
+    check,
+    apply,
+    show,
+    status,
+    drain,
+    undrain,
+    timeline,
+    explain,
+    release,
+    trace,
+    believed
+};
 
 /// A whole command line. Fields that the command does not take stay empty.
 struct command_line {
@@ -19,7 +32,10 @@
     std::optional<std::uint64_t> read_at; ///< apply: the generation the text was edited from
     std::string reason;                   ///< apply, drain, undrain
     drain_kind kind = drain_kind::target; ///< drain, undrain
-    std::string subject; ///< drain, undrain: a name; explain: an id; release: a fingerprint
+    std::string subject;           ///< drain, undrain: a name; explain, trace: an id; release: a
+                                   ///< fingerprint; believed: a host
+    std::string at;                ///< believed: a time
+    std::vector<std::string> logs; ///< trace, believed: files and folders; none: standard input
     bool json = false;
 };
 
--- a/source/almondquay/commands.h
+++ b/source/almondquay/commands.h
@@ -17,6 +17,9 @@
 result_code run_release(operator_session& session, const command_line& c);
 result_code run_explain(operator_session& session, const command_line& c);
 
+result_code run_trace(const command_line& c);
+result_code run_believed(const command_line& c);
+
 /// Prints "almondquay: 2004 platform_conflict: ..." and returns the code.
 result_code complain(const error& e);
 
--- /dev/null
+++ b/source/almondquay/log_commands.cpp
@@ -0,0 +1,203 @@
+#include "almondquay/commands.h"
+#include "trace/belief.h"
+#include "trace/request_cause.h"
+#include "trace/request_story.h"
+
+#include <algorithm>
+#include <iostream>
+
+#include <nlohmann/json.hpp>
+
+namespace almondquay {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Context lines that people are shown; --json has all.
+constexpr std::size_t shown_context_lines = 12;
+
+result<log_source> open_logs(const command_line& c)
+{
+    auto source = log_source::open(c.logs);
+    if (succeeded(source)) {
+        value_of(source).progress = [](std::uintmax_t bytes) {
+            constexpr std::uintmax_t bytes_per_megabyte = 1024ULL * 1024;
+            std::cerr << "almondquay: " << bytes / bytes_per_megabyte << " MB read\n";
+        };
+    }
+    return source;
+}
+
+json to_json(const log_line& line)
+{
+    json fields = json::object();
+    for (const auto& [key, value] : line.fields) {
+        fields[key] = value;
+    }
+    return {{"time", line.time_text},
+            {"host", line.process},
+            {"event", line.event},
+            {"fields", std::move(fields)}};
+}
+
+json to_json(const std::vector<log_line>& lines)
+{
+    json all = json::array();
+    for (const auto& line : lines) {
+        all.push_back(to_json(line));
+    }
+    return all;
+}
+
+void print_line(const log_line& line)
+{
+    std::cout << "  " << line.time_text << "  " << line.process << "  " << line.event;
+    const auto summary = field_of(line, "summary");
+    if (!summary.empty()) {
+        std::cout << "  " << summary << '\n';
+        return;
+    }
+    for (const auto& [key, value] : line.fields) {
+        if (key != "level" && key != "request" && !value.empty()) {
+            std::cout << "  " << key << '=' << value;
+        }
+    }
+    std::cout << '\n';
+}
+
+/// The lines nearest in time to the request's end, in their order.
+std::vector<log_line> nearest(std::vector<log_line> lines, log_time end)
+{
+    const auto distance = [&](const log_line& line) {
+        return line.time < end ? end - line.time : line.time - end;
+    };
+    while (lines.size() > shown_context_lines) {
+        lines.erase(std::ranges::max_element(lines, {}, distance));
+    }
+    return lines;
+}
+
+void print_story(const request_story& story, const request_cause& cause)
+{
+    std::cout << "cause: " << cause.text << '\n';
+    if (!cause.result.empty()) {
+        std::cout << "result: " << cause.result
+                  << (cause.outcome.empty() ? "" : ", outcome " + cause.outcome) << ", at "
+                  << cause.host << '\n';
+    }
+    if (story.lines.empty()) {
+        return;
+    }
+    std::cout << "lines of the request:\n";
+    std::ranges::for_each(story.lines, print_line);
+    const auto context = nearest(story.context, story.lines.back().time);
+    if (!context.empty()) {
+        std::cout << "decisions of the same hosts (" << context.size() << " of "
+                  << story.context.size() << "):\n";
+        std::ranges::for_each(context, print_line);
+    }
+}
+
+void print_decisions(std::string_view title, const std::map<std::string, std::string>& decisions)
+{
+    for (const auto& [what, decision] : decisions) {
+        std::cout << "  " << title << ' ' << what << ": " << decision << '\n';
+    }
+}
+
+void print_belief(const host_belief& b)
+{
+    std::cout << b.host << ": " << b.stage << (b.since.empty() ? "" : ", started " + b.since)
+              << '\n';
+    if (!b.generation.empty()) {
+        std::cout << "  " << b.generation << '\n';
+    }
+    std::cout << "  store: " << b.store << (b.store_since.empty() ? "" : " since " + b.store_since)
+              << "\n  targets listed: " << b.targets_listed << '\n';
+    print_decisions("no work for target", b.targets_out);
+    print_decisions("evacuated", b.evacuated);
+    print_decisions("dead host", b.dead_hosts);
+    print_decisions("refused request", b.quarantined);
+    if (b.clock_went_back) {
+        std::cout << "  The host's clock went back within its log; this is the state at the first "
+                     "line after the time.\n";
+    }
+}
+
+json to_json(const host_belief& b)
+{
+    return {{"host", b.host},
+            {"stage", b.stage},
+            {"since", b.since},
+            {"generation", b.generation},
+            {"store", b.store},
+            {"store_since", b.store_since},
+            {"targets_listed", b.targets_listed},
+            {"targets_out", b.targets_out},
+            {"evacuated", b.evacuated},
+            {"dead_hosts", b.dead_hosts},
+            {"quarantined", b.quarantined},
+            {"clock_went_back", b.clock_went_back}};
+}
+
+} // namespace
+
+result_code run_trace(const command_line& c)
+{
+    const auto logs = open_logs(c);
+    if (!succeeded(logs)) {
+        return complain(error_of(logs));
+    }
+    const auto story = read_story(value_of(logs), c.subject);
+    if (!succeeded(story)) {
+        return complain(error_of(story));
+    }
+    const auto& told = value_of(story);
+    const auto cause = find_cause(told);
+    if (c.json) {
+        std::cout << json{{"id", told.id},
+                          {"cause", cause.text},
+                          {"result", cause.result},
+                          {"outcome", cause.outcome},
+                          {"host", cause.host},
+                          {"target", cause.target},
+                          {"lines", to_json(told.lines)},
+                          {"context", to_json(told.context)},
+                          {"dropped", told.dropped}}
+                         .dump()
+                  << '\n';
+    } else {
+        print_story(told, cause);
+    }
+    return cause.result.empty() ? complain({result_code::request_not_logged, told.id})
+                                : result_code::ok;
+}
+
+result_code run_believed(const command_line& c)
+{
+    const auto at = parse_log_time(c.at);
+    if (!at) {
+        return complain({result_code::usage_error, "'" + c.at + "' is no time"});
+    }
+    const auto logs = open_logs(c);
+    if (!succeeded(logs)) {
+        return complain(error_of(logs));
+    }
+    const auto belief = read_belief(value_of(logs), c.subject, *at);
+    if (!succeeded(belief)) {
+        return complain(error_of(belief));
+    }
+    const auto& b = value_of(belief);
+    if (b.lines == 0) {
+        return complain({result_code::host_not_logged, c.subject});
+    }
+    if (c.json) {
+        std::cout << to_json(b).dump() << '\n';
+    } else {
+        print_belief(b);
+    }
+    return result_code::ok;
+}
+
+} // namespace almondquay
--- a/source/almondquay/main.cpp
+++ b/source/almondquay/main.cpp
@@ -26,6 +26,8 @@
         return run_release(session, c);
     case command_name::status:
     case command_name::check:
+    case command_name::trace:
+    case command_name::believed:
         break;
     }
     return run_status(session, c);
@@ -36,6 +38,12 @@
     if (c.name == command_name::check) {
         return run_check(c);
     }
+    if (c.name == command_name::trace) {
+        return run_trace(c);
+    }
+    if (c.name == command_name::believed) {
+        return run_believed(c);
+    }
     const auto text = read_file(c.settings_file);
     if (!succeeded(text)) {
         return complain(error_of(text));
--- a/source/common/result_code.cpp
+++ b/source/common/result_code.cpp
@@ -100,6 +100,8 @@
     {decision_unknown, "decision_unknown", "No host knows a decision of this id."},
     {platform_behind_fleet, "platform_behind_fleet",
      "The platform holds an older version than the hosts have in force."},
+    {request_not_logged, "request_not_logged", "The logs do not tell how this request ended."},
+    {host_not_logged, "host_not_logged", "The logs have no line of this host up to that time."},
 });
 
 const result_code_row& row_of(result_code code)
--- a/source/common/result_code.h
+++ b/source/common/result_code.h
@@ -80,6 +80,8 @@
     fleet_disagrees = 6003,
     decision_unknown = 6004,
     platform_behind_fleet = 6005,
+    request_not_logged = 6006,
+    host_not_logged = 6007,
 };
 
 /// One row of the table of result codes.
--- /dev/null
+++ b/source/trace/request_cause.cpp
@@ -0,0 +1,233 @@
+#include "trace/request_cause.h"
+
+#include "common/result_code.h"
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+
+namespace almondquay {
+
+namespace {
+
+using enum result_code;
+
+bool is_end(const log_line& line)
+{
+    return line.event == "request_ended" || line.event == "request_refused";
+}
+
+bool is_attempt(const log_line& line)
+{
+    return line.event == "attempt_failed" || line.event == "placement_refused";
+}
+
+std::string text_of(std::string_view value)
+{
+    return std::string(value);
+}
+
+std::string milliseconds_text(std::string_view value)
+{
+    return text_of(value) + " ms";
+}
+
+const log_line* last_of(const std::vector<log_line>& lines, bool (*is_wanted)(const log_line&))
+{
+    const auto found = std::ranges::find_if(lines | std::views::reverse, is_wanted);
+    return found == lines.rend() ? nullptr : &*found;
+}
+
+/// What the host heard of the target next after an attempt; a crash shows there.
+const log_line* next_about(const request_story& story, const log_line& attempt)
+{
+    constexpr std::array kinds{"target_gone", "target_listed", "eject_target", "leave_out_target"};
+    const auto found = std::ranges::find_if(story.context, [&](const log_line& line) {
+        return line.process == attempt.process && line.time >= attempt.time &&
+               input_of(line, "target") == field_of(attempt, "target") &&
+               std::ranges::find(kinds, line.event) != kinds.end();
+    });
+    return found == story.context.end() ? nullptr : &*found;
+}
+
+/// The latest of the host's own decisions of these kinds before a line.
+const log_line* latest_before(const request_story& story, const log_line& line,
+                              std::initializer_list<std::string_view> kinds)
+{
+    const log_line* latest = nullptr;
+    for (const auto& c : story.context) {
+        if (c.process == line.process && c.time <= line.time &&
+            std::ranges::find(kinds, c.event) != kinds.end()) {
+            latest = &c;
+        }
+    }
+    return latest;
+}
+
+std::string after_text(const request_story& story, const log_line& attempt)
+{
+    const auto* next = next_about(story, attempt);
+    if (next == nullptr) {
+        return "";
+    }
+    const auto later =
+        std::chrono::duration_cast<std::chrono::milliseconds>(next->time - attempt.time);
+    return " " + std::to_string(later.count()) +
+           " ms later: " + text_of(field_of(*next, "summary"));
+}
+
+/// A host without the store may act on what is no longer so.
+std::string store_text(const request_story& story, const log_line& line)
+{
+    const auto* latest = latest_before(story, line, {"store_away", "store_answers"});
+    const bool is_away = latest != nullptr && latest->event == "store_away";
+    return is_away ? " The host had been without the store since " + latest->time_text + "." : "";
+}
+
+std::string overload_text(const log_line& a)
+{
+    const auto age = field_of(a, "report_age_ms");
+    const std::string load = age.empty()
+                                 ? "nothing was known of its load"
+                                 : "its load was known from " + milliseconds_text(age) + " before";
+    return "No target could answer in time: at " + text_of(field_of(a, "target")) + " a wait of " +
+           milliseconds_text(field_of(a, "predicted_wait_ms")) + " and work of " +
+           milliseconds_text(field_of(a, "work_ms")) + " were predicted, and " +
+           milliseconds_text(field_of(a, "left_ms")) + " were left; " + load + ".";
+}
+
+std::string shed_text(const log_line& a)
+{
+    return "Target " + text_of(field_of(a, "target")) + " refused it unrun after " +
+           milliseconds_text(field_of(a, "took_ms")) + "; by its last report " +
+           text_of(field_of(a, "waiting")) + " requests waited there.";
+}
+
+std::string attempt_text(const request_story& story, std::string_view result, const log_line& a)
+{
+    const auto target = "Target " + text_of(field_of(a, "target"));
+    const auto took = milliseconds_text(field_of(a, "took_ms"));
+    if (result == name_of(overloaded)) {
+        return overload_text(a);
+    }
+    if (result == name_of(target_shed)) {
+        return shed_text(a);
+    }
+    if (result == name_of(deadline_passed)) {
+        return target + " did not answer within " + took + "." + after_text(story, a);
+    }
+    if (result == name_of(target_unreachable)) {
+        return target + " took no connection." + after_text(story, a) + store_text(story, a);
+    }
+    if (result == name_of(target_answer_lost)) {
+        return target + " ended the connection after " + took + " without a whole answer." +
+               after_text(story, a);
+    }
+    if (result == name_of(target_answer_malformed)) {
+        return target + " sent what is no answer to this request, after " + took + ".";
+    }
+    if (result == name_of(target_failed)) {
+        return target + " answered with a failure of its own after " + took + ".";
+    }
+    if (result == name_of(target_replaced)) {
+        return "Another target had taken the address of target " + text_of(field_of(a, "target")) +
+               "." + store_text(story, a);
+    }
+    if (result == name_of(target_withdrawn)) {
+        return target + " was withdrawn while the connection was made.";
+    }
+    if (result == name_of(caller_gone)) {
+        return "The caller left while target " + text_of(field_of(a, "target")) +
+               " had the request, after " + took + ".";
+    }
+    return target + " failed it after " + took + ".";
+}
+
+result_code code_named(std::string_view name)
+{
+    const auto table = result_code_table();
+    const auto found = std::ranges::find(table, name, &result_code_row::name);
+    return found == table.end() ? ok : found->code;
+}
+
+std::string refusal_text(const request_story& story, const log_line& end, result_code code)
+{
+    if (code == request_quarantined) {
+        const auto* decided = latest_before(story, end, {"quarantine_request"});
+        return decided == nullptr ? text_of(meaning_of(code))
+                                  : text_of(field_of(*decided, "summary"));
+    }
+    if (code == host_not_ready) {
+        const auto* started = latest_before(story, end, {"started", "start_serving"});
+        return text_of(meaning_of(code)) +
+               (started == nullptr ? "" : " It had started at " + started->time_text + ".") +
+               store_text(story, end);
+    }
+    if (code == caller_gone) {
+        return "The caller left before the request had been sent to a target.";
+    }
+    return text_of(meaning_of(code)) + store_text(story, end);
+}
+
+std::string dropped_text(const request_story& story)
+{
+    std::string text = "No line names this request.";
+    for (const auto& [host, lines] : story.dropped) {
+        text += " " + host + " had no room for " + std::to_string(lines) + " lines about failures.";
+    }
+    return text;
+}
+
+/// Attempts that failed before the one that decided.
+std::string earlier_text(const request_story& story, const log_line* deciding)
+{
+    const auto failed = std::ranges::count_if(story.lines, [&](const log_line& line) {
+        return line.event == "attempt_failed" && &line != deciding;
+    });
+    if (failed == 0) {
+        return "";
+    }
+    return " " + std::to_string(failed) + (failed == 1 ? " earlier attempt" : " earlier attempts") +
+           " failed.";
+}
+
+} // namespace
+
+request_cause find_cause(const request_story& story)
+{
+    request_cause cause;
+    if (story.lines.empty()) {
+        cause.text = dropped_text(story);
+        return cause;
+    }
+    const auto* end = last_of(story.lines, is_end);
+    const auto* attempt = last_of(story.lines, is_attempt);
+    const auto& last = end != nullptr ? *end : story.lines.back();
+    cause.host = last.process;
+    cause.result = text_of(field_of(last, "result"));
+    cause.outcome = text_of(field_of(last, "outcome"));
+    if (end == nullptr) {
+        cause.result.clear();
+        cause.text = "The logs do not tell how it ended; the last line is of " + last.time_text +
+                     " at " + last.process + ".";
+        return cause;
+    }
+    const auto code = code_named(cause.result);
+    if (code == ok) {
+        cause.text = "It was served." + earlier_text(story, nullptr);
+        return cause;
+    }
+    const bool is_decided_by_attempt =
+        attempt != nullptr && attempt->process == end->process &&
+        (attempt->event == "placement_refused" ? code == overloaded
+                                               : field_of(*attempt, "result") == cause.result);
+    if (is_decided_by_attempt) {
+        cause.target = text_of(field_of(*attempt, "target"));
+        cause.text = attempt_text(story, cause.result, *attempt) + earlier_text(story, attempt);
+    } else {
+        cause.text = refusal_text(story, *end, code) + earlier_text(story, nullptr);
+    }
+    return cause;
+}
+
+} // namespace almondquay
--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -26,7 +26,8 @@
 #include <tclap/CmdLine.h>
 
 /// A stand-in for a target with a few slots. The query asks for work and faults:
-/// ms (time it takes), bytes (size of the answer), fault (cut, never, garbage, twice, drop, exit),
+/// ms (time it takes), bytes (size of the answer), fault (cut, never, garbage, twice, drop, exit,
+/// shed),
 /// endless (bytes that are no answer until the other end closes; see `endless_shapes`). With an id
 /// it also answers as the users' platform says: it refuses requests that name another target,
 /// repeats the request's id, and tells its load. It counts its runs for each key, which makes it
@@ -200,8 +201,9 @@
     }
 }
 
+/// `id_line` repeats the request's id in answers that are read as one.
 asio::awaitable<void> serve_faulty(target& t, tcp::socket& socket, std::string fault,
-                                   error_code& problem)
+                                   std::string id_line, error_code& problem)
 {
     constexpr std::uint64_t promised = 1000;
     if (fault == "exit") {
@@ -212,7 +214,15 @@
     } else if (fault == "garbage") {
         co_await write_text(socket, "\x01\x02 not http at all\r\n\r\n", problem);
     } else if (fault == "cut") {
-        co_await write_text(socket, head(promised, "cut") + "half", problem);
+        co_await write_text(
+            socket, head(promised, "cut\r\n" + id_line.substr(0, id_line.size() - 2)) + "half",
+            problem);
+    } else if (fault == "shed") {
+        co_await write_text(socket,
+                            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + id_line +
+                                "Content-Length: 0\r\n\r\n",
+                            problem);
+        co_return;
     } else if (fault == "twice") {
         co_await write_text(socket, head(3, "one") + "one" + head(3, "two") + "two", problem);
         co_return;
@@ -235,10 +245,12 @@
         co_await write_text(socket, head(0, ""), problem);
         co_return;
     }
+    const auto id_line = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
     const auto expected = request["X-Expect-Instance"];
     if (!t.id.empty() && !expected.empty() && expected != t.id) {
-        co_await write_text(socket, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
-                            problem);
+        co_await write_text(
+            socket, "HTTP/1.1 421 Misdirected Request\r\n" + id_line + "Content-Length: 0\r\n\r\n",
+            problem);
         co_return;
     }
     const in_flight_guard guard(t);
@@ -256,13 +268,12 @@
     }
     const auto fault = std::string(message::header_of(parts.parameters, "fault"));
     if (!fault.empty()) {
-        co_await serve_faulty(t, socket, fault, problem);
+        co_await serve_faulty(t, socket, fault, id_line, problem);
         co_return;
     }
     const auto endless = std::string(message::header_of(parts.parameters, "endless"));
     if (!endless.empty()) {
-        const auto id = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
-        co_await serve_endless(socket, endless, id, problem);
+        co_await serve_endless(socket, endless, id_line, problem);
         co_return;
     }
     auto echo = std::string(message::header_of(parts.parameters, "echo"));
--- /dev/null
+++ b/unit_tests/processes/trace_causes.sh
@@ -0,0 +1,102 @@
+#!/usr/bin/env bash
+# From a request's id to its cause with only the log: each kind of failure is caused at an entry host,
+# and the trace command must name its cause and its target.
+here=$(cd "$(dirname "$0")" && pwd)
+. "$here/checks.sh"
+. "$here/registry_hosts.sh"
+
+log=$work/entry-1.out
+almondquay=$build/source/almondquay/almondquay
+
+target_entry() { # number service [address-number]
+    store PUT "servers/i-$1" "{\"service\":\"$2\",\"address\":\"127.1.1.${3:-$1}:9000\",\"zone\":\"north-a\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_left_s\":0,\"sequence\":1,\"born\":5}"
+}
+route() { # service: one with a path of its name
+    printf '{"name":"%s","host":"a.example","path_prefix":"/%s/","kind":"idempotent","timeout_s":2,"target_latency_s":0.5,"priority":2,"service":"%s","max_attempts":1,"sticky":false,"home_regions":[]}' "$1" "$1" "$1"
+}
+service() { printf '{"name":"%s","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false,"warmup_s":0,"cold_per_s":1000}' "$1"; }
+ask() { # id path [deadline-ms] [host]
+    printf 'GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %s\r\nConnection: close\r\n\r\n' \
+        "$2" "${4:-a.example}" "$1" "${3:-1000}" | raw 127.0.1.1:7000 3 >/dev/null
+}
+result_of() { "$almondquay" trace "$1" "$log" --json 2>/dev/null | sed -n 's/.*"result":"\([a-z_]*\)".*/\1/p'; }
+cause_of() { "$almondquay" trace "$1" "$log" 2>/dev/null | sed -n 's/^cause: //p'; }
+told() { # id result text: the log has come, and the command tells result and text
+    [ "$(result_of "$1")" = "$2" ] && contains "$(cause_of "$1")" "$3" >/dev/null
+}
+expect_cause() { # id result text
+    expect "$2 is told, with \"$3\"" wait_until 3 told "$@"
+    told "$@" || "$almondquay" trace "$1" "$log"
+}
+
+start registry "$build/unit_tests/fakes/fake_registry" --listen "$registry"
+for n in 1 4 5 6 7; do
+    start "target-$n" "$build/unit_tests/fakes/fake_target" --listen "127.1.1.$n:9000" --id "i-$n"
+done
+registry_seeds=127.0.1.1:7001 start_registry_host 1 north-a "$registry"
+wait_until 5 store PUT servers/forged '{"service":5}' || exit 1
+
+wait_until 5 grep -q event=started "$log"
+ask early /main/a
+expect_cause early host_not_ready "It had started at"
+
+target_entry 1 main
+target_entry 9 replaced 1
+for n in 4 5 6; do target_entry $n crashing; done
+target_entry 7 killed
+routes= services=
+for s in main replaced crashing killed empty; do
+    routes="$routes${routes:+,}$(route $s)"
+    services="$services${services:+,}$(service $s)"
+done
+store PUT config/main "{\"version\":\"00000002\",\"routes\":[$routes],\"services\":[$services],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1000000,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+expect "the host becomes ready" wait_until 5 ready 1
+main_is_known() { contains "$(printf 'GET /main/a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: warm\r\nConnection: close\r\n\r\n' | raw 127.0.1.1:7000 3)" "200 OK"; }
+expect "a request is served" wait_until 5 main_is_known
+
+ask never "/main/a?fault=never" 700
+expect_cause never deadline_passed "Target i-1 did not answer within 7"
+ask dropped "/main/a?fault=drop"
+expect_cause dropped target_answer_lost "Target i-1 ended the connection"
+ask cut "/main/a?fault=cut"
+expect_cause cut target_answer_lost "Target i-1 ended the connection"
+ask garbage "/main/a?fault=garbage"
+expect_cause garbage target_answer_malformed "Target i-1 sent what is no answer"
+ask shed "/main/a?fault=shed"
+expect_cause shed target_shed "Target i-1 refused it unrun"
+ask hurried /main/a 1
+expect_cause hurried overloaded "were predicted, and"
+ask replaced /replaced/a
+expect_cause replaced target_replaced "Another target had taken the address of target i-9"
+ask alone /empty/a
+expect_cause alone no_live_target "No target here can serve the service"
+ask lost /main/a 1000 b.example
+expect_cause lost route_unknown "No route matches"
+kill -KILL "$(pid_of target-7)"
+ask refused /killed/a
+expect_cause refused target_unreachable "Target i-7 took no connection. 0 ms later: Target i-7 refused"
+printf 'POST /main/a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 500\r\nContent-Length: 9\r\n\r\nx' | raw 127.0.1.1:7000 2 >/dev/null
+expect_cause slow request_too_slow "The request did not arrive in time"
+{ printf 'GET /main/a?fault=never HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: left\r\n\r\n' >&7; sleep 0.3; } 7<>/dev/tcp/127.0.1.1/7000
+expect_cause left caller_gone "The caller left while target i-1 had the request"
+for n in 1 2 3; do
+    ask "crash-$n" "/crashing/a?fault=exit"
+    sleep 0.6
+done
+sleep 1
+target_entry 8 crashing 1
+ask again "/crashing/a?fault=exit"
+expect_cause again request_quarantined "was in flight when"
+
+expect "a request that nobody logged is not explained" equal "$("$almondquay" trace nobody "$log" 2>&1 | tail -1 | cut -d' ' -f2)" 6006
+expect "logs are read from standard input as well" contains "$("$almondquay" trace never <"$log")" "did not answer within 7"
+expect "and from a folder, with what a collector puts before each line" contains \
+    "$(mkdir "$work/logs" && sed 's/^/entry-1 | /' "$log" >"$work/logs/1.log" && "$almondquay" trace never "$work/logs")" "did not answer within 7"
+now=$(sed -n '$s/.*time=\([^ ]*\) .*/\1/p' "$log")
+believed=$("$almondquay" believed entry-1 "$now" "$log")
+expect "what the host had in force is told" contains "$believed" "entry-1: serving"
+expect "with its configuration" contains "$believed" "Generation 2 is in force"
+expect "and what it refuses" contains "$believed" "refused request"
+before=$("$almondquay" believed entry-1 "$(sed -n '/event=started/s/.*time=\([^ ]*\) .*/\1/p' "$log")" "$log")
+expect "at its start it had nothing" contains "$before" "entry-1: starting"
+finish
