--- a/source/trace/request_cause.cpp
+++ b/source/trace/request_cause.cpp
@@ -17,9 +17,12 @@
     return line.event == "request_ended" || line.event == "request_refused";
 }
 
-bool is_attempt(const log_line& line)
+/// Whether a line tells why a request ended with this result.
+bool decides(const log_line& line, std::string_view result)
 {
-    return line.event == "attempt_failed" || line.event == "placement_refused";
+    return line.event == "attempt_failed"
+               ? field_of(line, "result") == result
+               : line.event == "placement_refused" && result == name_of(overloaded);
 }
 
 std::string text_of(std::string_view value)
@@ -32,12 +35,24 @@
     return text_of(value) + " ms";
 }
 
-const log_line* last_of(const std::vector<log_line>& lines, bool (*is_wanted)(const log_line&))
+const log_line* last_end(const std::vector<log_line>& lines)
 {
-    const auto found = std::ranges::find_if(lines | std::views::reverse, is_wanted);
+    const auto found = std::ranges::find_if(lines | std::views::reverse, is_end);
     return found == lines.rend() ? nullptr : &*found;
 }
 
+/// The attempt that decided. It need not be the last one: what an earlier attempt may have done is
+/// not undone by one that did not run.
+const log_line* deciding_attempt(const request_story& story, const log_line& end)
+{
+    const auto result = field_of(end, "result");
+    const auto found =
+        std::ranges::find_if(story.lines | std::views::reverse, [&](const log_line& line) {
+            return line.process == end.process && decides(line, result);
+        });
+    return found == story.lines.rend() ? nullptr : &*found;
+}
+
 /// What the host heard of the target next after an attempt; a crash shows there.
 const log_line* next_about(const request_story& story, const log_line& attempt)
 {
@@ -178,8 +193,8 @@
     return text;
 }
 
-/// Attempts that failed before the one that decided.
-std::string earlier_text(const request_story& story, const log_line* deciding)
+/// Attempts that failed besides the one that decided.
+std::string others_text(const request_story& story, const log_line* deciding)
 {
     const auto failed = std::ranges::count_if(story.lines, [&](const log_line& line) {
         return line.event == "attempt_failed" && &line != deciding;
@@ -187,8 +202,9 @@
     if (failed == 0) {
         return "";
     }
-    return " " + std::to_string(failed) + (failed == 1 ? " earlier attempt" : " earlier attempts") +
-           " failed.";
+    const std::string_view other = deciding == nullptr ? "" : "other ";
+    return " " + std::to_string(failed) + " " + std::string(other) +
+           (failed == 1 ? "attempt failed." : "attempts failed.");
 }
 
 } // namespace
@@ -200,8 +216,7 @@
         cause.text = dropped_text(story);
         return cause;
     }
-    const auto* end = last_of(story.lines, is_end);
-    const auto* attempt = last_of(story.lines, is_attempt);
+    const auto* end = last_end(story.lines);
     const auto& last = end != nullptr ? *end : story.lines.back();
     cause.host = last.process;
     cause.result = text_of(field_of(last, "result"));
@@ -214,18 +229,14 @@
     }
     const auto code = code_named(cause.result);
     if (code == ok) {
-        cause.text = "It was served." + earlier_text(story, nullptr);
+        cause.text = "It was served." + others_text(story, nullptr);
         return cause;
     }
-    const bool is_decided_by_attempt =
-        attempt != nullptr && attempt->process == end->process &&
-        (attempt->event == "placement_refused" ? code == overloaded
-                                               : field_of(*attempt, "result") == cause.result);
-    if (is_decided_by_attempt) {
+    if (const auto* attempt = deciding_attempt(story, *end); attempt != nullptr) {
         cause.target = text_of(field_of(*attempt, "target"));
-        cause.text = attempt_text(story, cause.result, *attempt) + earlier_text(story, attempt);
+        cause.text = attempt_text(story, cause.result, *attempt) + others_text(story, attempt);
     } else {
-        cause.text = refusal_text(story, *end, code) + earlier_text(story, nullptr);
+        cause.text = refusal_text(story, *end, code) + others_text(story, nullptr);
     }
     return cause;
 }
