--- a/benchmarks/membership_benchmark.cpp
+++ b/benchmarks/membership_benchmark.cpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <tclap/CmdLine.h>
+
 /// How fast gossip notices a dead host, how often it takes a live one for dead, and what it costs,
 /// by size of the failure domain, number of domains and loss. Virtual time. Prints CSV.
 namespace {
@@ -18,6 +20,7 @@
     int domains = 0;
     int hosts_per_domain = 0;
     double loss = 0;
+    std::int64_t seconds = 180;
 };
 
 struct flying {
@@ -88,7 +91,7 @@
     outcome run()
     {
         constexpr std::int64_t death_ms = 60'000;
-        constexpr std::int64_t end_ms = 180'000;
+        const std::int64_t end_ms = shape_.seconds * 1'000;
         for (now_ = 250; now_ < end_ms; now_ += 250) {
             dead_from_ = now_ >= death_ms ? 0 : hosts_.size();
             for (std::size_t i = 0; i < hosts_.size(); ++i) {
@@ -171,18 +174,28 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
-    std::cout << "kind,domains,hosts_per_domain,loss,near_detected_ms,far_detected_ms,"
+    std::vector<fleet_shape> shapes{{6, 2, 0},  {6, 2, 0.1}, {6, 4, 0},  {1, 10, 0},   {1, 20, 0},
+                                    {10, 5, 0}, {6, 11, 0},  {9, 22, 0}, {9, 22, 0.1}, {40, 20, 0}};
+    TCLAP::CmdLine command_line("membership_benchmark: all shapes, or one");
+    TCLAP::ValueArg<int> domains("", "domains", "failure domains", false, 0, "N", command_line);
+    TCLAP::ValueArg<int> hosts("", "hosts", "hosts of each", false, 2, "N", command_line);
+    TCLAP::ValueArg<double> loss("", "loss", "part of datagrams", false, 0, "PART", command_line);
+    TCLAP::ValueArg<std::int64_t> seconds("", "seconds", "of virtual time", false, 180, "N",
+                                          command_line);
+    command_line.parse(argc, argv);
+    if (domains.isSet()) {
+        shapes = {{domains.getValue(), hosts.getValue(), loss.getValue(), seconds.getValue()}};
+    }
+    std::cout << "kind,domains,hosts_per_domain,loss,seconds,near_detected_ms,far_detected_ms,"
                  "false_deaths,bytes_per_host_s\n";
-    for (const auto& shape :
-         {fleet_shape{6, 2, 0}, fleet_shape{6, 2, 0.1}, fleet_shape{6, 4, 0}, fleet_shape{1, 10, 0},
-          fleet_shape{1, 20, 0}, fleet_shape{10, 5, 0}, fleet_shape{6, 11, 0},
-          fleet_shape{9, 22, 0}, fleet_shape{9, 22, 0.1}, fleet_shape{40, 20, 0}}) {
+    for (const auto& shape : shapes) {
         const auto result = simulation(shape).run();
         std::cout << "membership," << shape.domains << ',' << shape.hosts_per_domain << ','
-                  << shape.loss << ',' << result.near_detected_ms << ',' << result.far_detected_ms
-                  << ',' << result.false_deaths << ',' << result.bytes_per_host_s << '\n';
+                  << shape.loss << ',' << shape.seconds << ',' << result.near_detected_ms << ','
+                  << result.far_detected_ms << ',' << result.false_deaths << ','
+                  << result.bytes_per_host_s << std::endl;
     }
     return 0;
 }
