Read a story's lines backwards without views

Cause: the linter's compiler does not take std::views::reverse of this standard library. Change: reverse iterators.

--- a/source/trace/request_cause.cpp
+++ b/source/trace/request_cause.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 namespace almondquay {
 
@@ -37,7 +36,7 @@
 
 const log_line* last_end(const std::vector<log_line>& lines)
 {
-    const auto found = std::ranges::find_if(lines | std::views::reverse, is_end);
+    const auto found = std::find_if(lines.rbegin(), lines.rend(), is_end);
     return found == lines.rend() ? nullptr : &*found;
 }
 
@@ -47,7 +46,7 @@
 {
     const auto result = field_of(end, "result");
     const auto found =
-        std::ranges::find_if(story.lines | std::views::reverse, [&](const log_line& line) {
+        std::find_if(story.lines.rbegin(), story.lines.rend(), [&](const log_line& line) {
             return line.process == end.process && decides(line, result);
         });
     return found == story.lines.rend() ? nullptr : &*found;
