--- a/unit_tests/control/crash_evidence_test.cpp
+++ b/unit_tests/control/crash_evidence_test.cpp
@@ -13,7 +13,7 @@
 using std::chrono::seconds;
 
 constexpr seconds warm_up{10};
-/// The users' bound from the third crash on: no host in touch may send the request any more.
+/// From the third crash on, no host that others reach may send the request any more.
 constexpr seconds refused_within{3};
 constexpr request_fingerprint poison = 7;
 
