Log sizes, ages and durations of configuration copies and of control work

The logs could not tell whether a late configuration waited for the transfer, for the processor or for an announcement. Now adopt_fleet says how many bytes the text has and since when a peer was known to have it, copy_received says how large a copy was, from whom and how long it took, and control_busy names work of the control thread of 50 ms and more, as well as late ticks. The histogram control_work_seconds counts all of it.

--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -51,11 +51,25 @@
     std::chrono::steady_clock::time_point next_settings_check{};
 };
 
+/// Work of the control thread that takes longer is logged.
+constexpr std::chrono::milliseconds long_work{50};
+
+void note_work(daemon_parts& d, std::string_view what, std::chrono::steady_clock::duration took)
+{
+    d.metrics->observe({"control_work_seconds", "", std::string(what)}, took);
+    if (took >= long_work) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took);
+        log::write(log::level::info, "control_busy",
+                   {{"work", std::string(what)}, {"took_ms", std::to_string(ms.count())}});
+    }
+}
+
 void handle(daemon_parts& d, event_body body)
 {
     const event e{std::move(body), std::chrono::steady_clock::now(),
                   std::chrono::system_clock::now()};
     execute_effects(d.effect_interpreter, reduce(d.state, e));
+    note_work(d, name_of(e.body), std::chrono::steady_clock::now() - e.now);
 }
 
 std::string read_file(const std::string& path)
@@ -110,6 +124,7 @@
     d.tick_timer.expires_after(tick_interval);
     d.tick_timer.async_wait([&d](const boost::system::error_code& problem) {
         if (!problem) {
+            note_work(d, "tick_delay", std::chrono::steady_clock::now() - d.tick_timer.expiry());
             handle(d, tick_event{});
             check_settings_file(d);
             schedule_tick(d);
@@ -178,7 +193,10 @@
 void answer_peer(daemon_parts& d, const http::request& request, const http::responder& respond)
 {
     if (request.method == "POST" && request.path == rpc_path) {
-        respond(d.rpc->handle(request));
+        const auto began = std::chrono::steady_clock::now();
+        auto answer = d.rpc->handle(request);
+        note_work(d, "answer_peer", std::chrono::steady_clock::now() - began);
+        respond(std::move(answer));
     } else {
         answer_metrics(d, request, respond);
     }
--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -45,10 +45,26 @@
                              : result<fleet_envelope>(error_of(answer));
 }
 
+void log_copy(const std::string& peer, const std::string& what,
+              std::chrono::steady_clock::time_point started, const result<std::string>& answer)
+{
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - started);
+    const auto bytes = succeeded(answer) ? value_of(answer).size() : 0;
+    log::write(log::level::info, "copy_received",
+               {{"peer", peer},
+                {"what", what},
+                {"bytes", std::to_string(bytes)},
+                {"took_ms", std::to_string(took.count())},
+                {"result", std::string(name_of(code_of(answer)))}});
+}
+
 void run(interpreter& i, const fetch_fleet_effect& e)
 {
     call_rpc(*i.client, i.settings->secret, e.peer, "fleet", "", peer_timeout,
-             [emit = i.emit, peer = to_string(e.peer)](const result<std::string>& answer) {
+             [emit = i.emit, peer = to_string(e.peer),
+              started = std::chrono::steady_clock::now()](const result<std::string>& answer) {
+                 log_copy(peer, "configuration", started, answer);
                  emit(peer_fleet_event{peer, to_envelope(answer)});
              });
 }
@@ -87,7 +103,9 @@
 {
     log::write(log::level::debug, "ask_peer", {{"peer", to_string(e.peer)}});
     call_rpc(*i.client, i.settings->secret, e.peer, "inventory", encode(e.have), peer_timeout,
-             [emit = i.emit, peer = to_string(e.peer)](const result<std::string>& answer) {
+             [emit = i.emit, peer = to_string(e.peer),
+              started = std::chrono::steady_clock::now()](const result<std::string>& answer) {
+                 log_copy(peer, "inventory", started, answer);
                  emit(peer_inventory_event{peer, succeeded(answer)
                                                      ? decode_inventory_copy(value_of(answer))
                                                      : result<inventory_copy>(error_of(answer))});
--- a/source/control/event.h
+++ b/source/control/event.h
@@ -102,6 +102,9 @@
                  inventory_read_event, host_registered_event, peer_inventory_event,
                  settings_changed_event>;
 
+/// The kind of an event, for logs: "tick", "gossip", "inventory_read" and so on.
+std::string_view name_of(const event_body& body);
+
 /// An event and the time at which it was dequeued.
 struct event {
     event_body body;
--- a/source/control/fleet_adoption.cpp
+++ b/source/control/fleet_adoption.cpp
@@ -74,6 +74,15 @@
              {"changed_by", envelope.changed_by}}});
 }
 
+/// Time since a peer was first known to have this generation in force; 0 if none was.
+std::chrono::milliseconds time_since_heard(const fleet_state& fleet, generation number,
+                                           monotonic_time now)
+{
+    return fleet.newest_heard >= number
+               ? std::chrono::duration_cast<std::chrono::milliseconds>(now - fleet.heard_at)
+               : std::chrono::milliseconds{0};
+}
+
 void put_in_force(control_state& state, const event& e, const fleet_envelope& envelope,
                   fleet&& text, const std::string& source, effects& out)
 {
@@ -94,7 +103,10 @@
          {{"before", std::to_string(before)},
           {"source", source},
           {"changed_by", envelope.changed_by},
-          {"change", change_id(envelope)}}});
+          {"change", change_id(envelope)},
+          {"bytes", std::to_string(envelope.text.size())},
+          {"heard_ms_ago",
+           std::to_string(time_since_heard(state.fleet, envelope.number, e.now).count())}}});
     // The text alone does not list the hosts that the announcement is sent to.
     apply_inventory_to_fleet(state);
     const bool is_relayed = state.self.has_inventory && source != from_store;
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -370,6 +370,10 @@
         return;
     }
     const auto own = state.fleet.envelope ? state.fleet.envelope->number : generation{};
+    if (message.in_force > std::max(own, state.fleet.newest_heard)) {
+        state.fleet.newest_heard = message.in_force;
+        state.fleet.heard_at = e.now;
+    }
     if (message.in_force > own && e.now >= state.fleet.next_fetch) {
         state.fleet.next_fetch =
             e.now + (state.self.has_inventory ? copy_request_interval : no_request_interval);
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -98,6 +98,9 @@
     monotonic_time next_watch{};
     std::set<generation> refused;            ///< generations whose text could not be parsed
     std::optional<generation> last_conflict; ///< generation of the last recorded conflict
+    /// The newest generation that a peer is known to have in force, and when that became known.
+    generation newest_heard;
+    monotonic_time heard_at{};
 };
 
 /// Synchronisation state of one list of the inventory.
