--- a/unit_tests/control/store_world.cpp
+++ b/unit_tests/control/store_world.cpp
@@ -194,14 +194,15 @@
         } else if (const auto* copy = std::get_if<fetch_inventory_effect>(&e)) {
             const auto answer = [this, have = copy->have](const control_state& state) {
                 const auto text = encode(copy_of(state, have, steady_time(state.self.host)));
-                return event_body(peer_inventory_event{"peer", decode_inventory_copy(text)});
+                return copy_answer{peer_inventory_event{"peer", decode_inventory_copy(text)},
+                                   text.size()};
             };
             fetch(id, copy->peer, answer,
                   peer_inventory_event{"peer", error{result_code::peer_unreachable, ""}});
         } else if (const auto* text = std::get_if<fetch_fleet_effect>(&e)) {
             const auto answer = [](const control_state& state) {
-                return event_body(
-                    peer_fleet_event{"peer", state.fleet.envelope.value_or(fleet_envelope{})});
+                const auto envelope = state.fleet.envelope.value_or(fleet_envelope{});
+                return copy_answer{peer_fleet_event{"peer", envelope}, encode(envelope).size()};
             };
             fetch(id, text->peer, answer,
                   peer_fleet_event{"peer", error{result_code::peer_unreachable, ""}});
@@ -224,6 +225,7 @@
     if (is_lost || !reaches_peers(from) || to == host_id{}) {
         return;
     }
+    copied_bytes_ += e.message.recent_changes.size();
     after(peer_delay, [this, to, message = e.message] {
         if (reaches_peers(to)) {
             deliver(to, hosts_.at(to)->life, gossip_event{message});
@@ -245,19 +247,53 @@
     });
 }
 
+milliseconds store_world::time_to_send(running_host& sender, std::size_t bytes)
+{
+    copied_bytes_ += bytes;
+    if (settings_.link_bytes_per_second == 0) {
+        return milliseconds{0};
+    }
+    constexpr double ms_per_second = 1'000;
+    const auto time = static_cast<double>(bytes) / settings_.link_bytes_per_second * ms_per_second;
+    sender.link_busy_until =
+        std::max(sender.link_busy_until, now_) + milliseconds(static_cast<std::int64_t>(time));
+    return sender.link_busy_until - now_;
+}
+
 void store_world::fetch(const host_id& from, const endpoint& peer,
-                        const std::function<event_body(const control_state&)>& answer,
+                        const std::function<copy_answer(const control_state&)>& answer,
                         const event_body& failure)
 {
     const auto life = hosts_.at(from)->life;
     const auto to = host_at(peer);
-    const bool is_served =
-        reaches_peers(from) && to != host_id{} && hosts_.at(to)->life != 0 && reaches_peers(to);
-    const auto delay = is_served ? 3 * peer_delay : call_timeout;
-    after(delay, [this, from, life, to, is_served, answer, failure] {
-        if (reaches_peers(from)) {
-            deliver(from, life, is_served ? answer(hosts_.at(to)->state) : failure);
+    const auto fail_later = [this, from, life, failure](milliseconds delay) {
+        after(delay, [this, from, life, failure] {
+            if (reaches_peers(from)) {
+                deliver(from, life, failure);
+            }
+        });
+    };
+    if (!reaches_peers(from) || to == host_id{}) {
+        fail_later(call_timeout);
+        return;
+    }
+    after(2 * peer_delay, [this, from, life, to, answer, fail_later] {
+        auto& server = *hosts_.at(to);
+        if (server.life == 0 || !reaches_peers(to)) {
+            fail_later(call_timeout - 2 * peer_delay);
+            return;
         }
+        const auto answered = answer(server.state);
+        const auto sent = time_to_send(server, answered.bytes);
+        if (sent + 3 * peer_delay >= call_timeout) {
+            fail_later(call_timeout - 2 * peer_delay);
+            return;
+        }
+        after(sent + peer_delay, [this, from, life, event = answered.event] {
+            if (reaches_peers(from)) {
+                deliver(from, life, event);
+            }
+        });
     });
 }
 
@@ -364,6 +400,21 @@
         inventory_item{"main", fleet_envelope{generation(number), "text", {}, "", "", 0}});
 }
 
+store_revision store_world::put_routes(std::uint64_t number, std::size_t count)
+{
+    constexpr std::size_t route_bytes = 300; // As the users' platform encodes a route.
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto changed_in = number - (number % count + count - i) % count;
+        auto route = "route " + std::to_string(i) + " changed in " + std::to_string(changed_in);
+        route.resize(route_bytes, '.');
+        text += route;
+    }
+    return commit_change(
+        inventory_kind::configuration, "main",
+        inventory_item{"main", fleet_envelope{generation(number), text, {}, "", "", 0}});
+}
+
 void store_world::report_crash(const host_id& id, const crash_evidence& evidence)
 {
     deliver(id, hosts_.at(id)->life, crash_evidence_event{evidence, false});
--- a/unit_tests/control/store_world.h
+++ b/unit_tests/control/store_world.h
@@ -19,6 +19,8 @@
     double loss = 0; ///< probability of the loss of a datagram
     std::uint64_t seed = 1;
     std::chrono::milliseconds max_propagation_delay{2'000};
+    /// Rate at which each host sends copies to others; 0: unlimited.
+    double link_bytes_per_second = 0;
 };
 
 /// Faults that can be injected at a host.
@@ -41,11 +43,15 @@
     store_revision delete_target(const std::string& name);
     store_revision put_evacuation(const std::string& domain);
     store_revision put_configuration(std::uint64_t number);
+    /// A configuration with this many routes. One route's text differs between two generations.
+    store_revision put_routes(std::uint64_t number, std::size_t count);
 
     /// Reports to the host that a request of its own was in flight when a target crashed.
     void report_crash(const host_id& id, const crash_evidence& evidence);
     /// Reports to the host that a target refused its connection.
     void report_refused_connection(const host_id& id, const target_id& target);
+    /// Bytes of copies and of announced changes that the hosts have sent to each other.
+    std::size_t copied_bytes() const { return copied_bytes_; }
     /// Number of calls between hosts that carried crash evidence.
     std::size_t evidence_calls() const { return evidence_calls_; }
 
@@ -73,6 +79,7 @@
         std::size_t calls = 0;
         std::chrono::milliseconds suspended{0}; ///< offset by which its steady clock is behind
         std::chrono::milliseconds frozen_at{0};
+        std::chrono::milliseconds link_busy_until{0};
     };
     struct change {
         store_revision at;
@@ -106,9 +113,15 @@
     void answer(const pending_query& waiting);
     void send(const host_id& from, const send_gossip_effect& e);
     void share(const host_id& from, const share_evidence_effect& e);
+    /// An answer of a host to a request for a copy, and its size.
+    struct copy_answer {
+        event_body event;
+        std::size_t bytes = 0;
+    };
     void fetch(const host_id& from, const endpoint& peer,
-               const std::function<event_body(const control_state&)>& answer,
+               const std::function<copy_answer(const control_state&)>& answer,
                const event_body& failure);
+    std::chrono::milliseconds time_to_send(running_host& sender, std::size_t bytes);
     store_revision commit_change(inventory_kind kind, const std::string& name,
                                  std::optional<inventory_item> item);
     bool reaches_peers(const host_id& id) const;
@@ -124,6 +137,7 @@
     std::map<host_id, host_fault> faults_;
     bool store_unreachable_ = false;
     std::size_t evidence_calls_ = 0;
+    std::size_t copied_bytes_ = 0;
     store_revision revision_{1};
     std::array<std::map<std::string, inventory_item>, inventory_kinds> objects_;
     std::vector<change> history_;
