--- a/benchmarks/fleet_change_benchmark.cpp
+++ b/benchmarks/fleet_change_benchmark.cpp
@@ -16,16 +16,26 @@
 constexpr std::size_t domains = 9;
 constexpr int rounds = 50;
 
-std::variant<fleet, diagnostics> parse_one_service(std::string_view /*text*/,
-                                                   const std::string& /*file*/)
+std::variant<fleet, diagnostics> parse_parts(const part_texts& parts)
 {
     fleet f;
-    service s;
-    s.id.value = "s";
-    f.services.emplace(s.id, s);
+    for (const auto& [name, text] : parts) {
+        if (name.starts_with("service/")) {
+            service s;
+            s.id.value = "s";
+            f.services.emplace(s.id, s);
+        }
+    }
     return f;
 }
 
+result<fleet_parts> split_text(std::string_view /*text*/)
+{
+    fleet_parts parts;
+    set_part(parts, "service/s", "s");
+    return parts;
+}
+
 event at(milliseconds now, event_body body)
 {
     return {std::move(body), monotonic_time(now), wall_time(now)};
@@ -73,7 +83,7 @@
     self.domain = self.registration.domain;
     self.life = incarnation(1);
     self.has_inventory = true;
-    self.parse = parse_one_service;
+    self.codec = {split_text, nullptr, parse_parts};
     inventory_copy copy;
     copy.at.fill(store_revision{10});
     copy.at.at(static_cast<std::size_t>(inventory_kind::configuration)) = {};
--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -274,7 +274,7 @@
         s.host, s.domain, {s.address, s.caller_port}, {s.address, s.peer_port}, s.weight};
     self.domains = s.domains;
     self.has_inventory = s.store == store_kind::registry;
-    self.parse = protocol_of(s).parse_fleet;
+    self.codec = protocol_of(s).configuration;
     self.budgets = s.budgets;
     self.max_propagation_delay = s.max_propagation_delay;
     self.stop_grace = s.stop_grace;
--- a/source/almondquayd/operator_api.cpp
+++ b/source/almondquayd/operator_api.cpp
@@ -11,7 +11,11 @@
 
 std::string answer_fleet(const control_state& state)
 {
-    return encode(state.fleet.envelope.value_or(fleet_envelope{}));
+    auto envelope = state.fleet.envelope.value_or(fleet_envelope{});
+    if (state.self.codec.join != nullptr && !envelope.parts.texts.empty()) {
+        envelope.text = state.self.codec.join(envelope.parts, envelope.number);
+    }
+    return encode(envelope);
 }
 
 std::string answer_status(const control_state& state, const timeline_ring& timeline,
--- a/source/config/fleet_envelope.h
+++ b/source/config/fleet_envelope.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "common/strong_type.h"
+#include "config/fleet_parts.h"
 
 #include <cstdint>
 #include <string>
@@ -31,6 +32,7 @@
     std::string changed_by;
     std::string reason;
     std::uint64_t changed_at_ms = 0; ///< wall-clock milliseconds since the epoch
+    fleet_parts parts{}; ///< replaces `text` if the store's protocol divides configurations
 
     bool operator==(const fleet_envelope&) const = default;
 };
@@ -38,7 +40,7 @@
 /// Key of the object in the platform's store.
 inline constexpr std::string_view fleet_object_key = "fleet";
 
-/// Serialises to JSON, the format used in the platform's store and between peers.
+/// Serialises all but the parts to JSON, the format used in the platform's store and between peers.
 std::string encode(const fleet_envelope& envelope);
 
 /// Errors: peer_message_malformed.
--- a/source/control/fleet_adoption.cpp
+++ b/source/control/fleet_adoption.cpp
@@ -2,10 +2,13 @@
 
 #include "config/fleet_text.h"
 #include "control/decisions.h"
+#include "control/inventory_changes.h"
 #include "control/inventory_sync.h"
 #include "control/membership.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 
 #include <xxhash.h>
 
@@ -16,7 +19,6 @@
 constexpr std::chrono::milliseconds shortest_backoff{200};
 constexpr std::chrono::milliseconds longest_backoff{5'000};
 constexpr unsigned max_doublings = 5;
-constexpr std::string_view from_store = "platform";
 
 std::uint64_t rank_of(const host_id& id)
 {
@@ -57,21 +59,21 @@
             {{"seen_at", source}}});
 }
 
-void refuse(control_state& state, const event& e, const fleet_envelope& envelope,
+void refuse(control_state& state, const event& e, generation number, const std::string& changed_by,
             const diagnostics& findings, effects& out)
 {
-    if (!state.fleet.refused.insert(envelope.number).second) {
+    if (!state.fleet.refused.insert(number).second) {
         return;
     }
-    decide(state, out, e.wall,
-           {"refuse_fleet",
-            "a text with errors is never put in force",
-            "Generation " + std::to_string(envelope.number.value) +
-                " is rejected because its text has errors.",
-            {},
-            {{"first_finding", to_string(findings.front())},
-             {"findings", std::to_string(findings.size())},
-             {"changed_by", envelope.changed_by}}});
+    decide(
+        state, out, e.wall,
+        {"refuse_fleet",
+         "a text with errors is never put in force",
+         "Generation " + std::to_string(number.value) + " is rejected because its text has errors.",
+         {},
+         {{"first_finding", to_string(findings.front())},
+          {"findings", std::to_string(findings.size())},
+          {"changed_by", changed_by}}});
 }
 
 /// Time since a peer was first known to have this generation in force; 0 if none was.
@@ -83,14 +85,16 @@
                : std::chrono::milliseconds{0};
 }
 
-void put_in_force(control_state& state, const event& e, const fleet_envelope& envelope,
-                  fleet&& text, const std::string& source, effects& out)
+/// What a new generation consists of, for the log.
+struct adopted_size {
+    std::size_t bytes = 0;
+    std::size_t parts = 0; ///< added, changed or removed; 0 if the text is not divided
+};
+
+void record_adoption(control_state& state, const event& e, generation before,
+                     const std::string& source, const adopted_size& size, effects& out)
 {
-    const auto before = state.fleet.envelope ? state.fleet.envelope->number.value : 0;
-    state.fleet.envelope = envelope;
-    state.fleet.configuration = std::move(text);
-    state.fleet.routes = make_route_table(state.fleet.configuration.routes);
-    state.fleet.blocks = make_block_table(state.fleet.configuration.caller_blocks);
+    const auto& envelope = *state.fleet.envelope;
     state.fleet.fingerprint = fingerprint_of(envelope);
     state.fleet.since = e.wall;
     state.snapshot_is_stale = true;
@@ -100,21 +104,97 @@
          "only a higher generation replaces the one in force",
          "Generation " + std::to_string(envelope.number.value) + " is in force: " + envelope.reason,
          {},
-         {{"before", std::to_string(before)},
+         {{"before", std::to_string(before.value)},
           {"source", source},
           {"changed_by", envelope.changed_by},
           {"change", change_id(envelope)},
-          {"bytes", std::to_string(envelope.text.size())},
+          {"bytes", std::to_string(size.bytes)},
+          {"parts", std::to_string(size.parts)},
           {"heard_ms_ago",
            std::to_string(time_since_heard(state.fleet, envelope.number, e.now).count())}}});
+}
+
+void put_in_force(control_state& state, const event& e, const fleet_envelope& envelope,
+                  fleet&& text, const std::string& source, effects& out)
+{
+    const auto before = generation_in_force(state);
+    state.fleet.envelope = envelope;
+    state.fleet.configuration = std::move(text);
+    state.fleet.routes = make_route_table(state.fleet.configuration.routes);
+    state.fleet.blocks = make_block_table(state.fleet.configuration.caller_blocks);
+    record_adoption(state, e, before, source, {envelope.text.size(), 0}, out);
     // The text alone does not list the hosts that the announcement is sent to.
     apply_inventory_to_fleet(state);
-    const bool is_relayed = state.self.has_inventory && source != from_store;
-    if (!is_relayed) {
-        announce(state, out);
+    if (!state.self.has_inventory) {
+        announce(state, out); // Otherwise the followers announce all changes of their lists.
+    }
+}
+
+const fleet_parts& parts_in_force(const control_state& state)
+{
+    static const fleet_parts none;
+    return state.fleet.envelope ? state.fleet.envelope->parts : none;
+}
+
+/// Puts a complete configuration in force that was read as a whole.
+void adopt_parts(control_state& state, const event& e, const fleet_envelope& envelope,
+                 const std::string& source, effects& out)
+{
+    fleet_change change{generation_in_force(state), envelope.number, envelope.parts.fingerprint,
+                        difference(parts_in_force(state), envelope.parts)};
+    auto encoded = encode(change);
+    adopt_change(state, e, std::move(change), std::move(encoded), source, out);
+}
+
+/// Records the names of the changed parts, so that peers can be sent the changes that they lack.
+void record_changed_parts(control_state& state, const fleet_change& change)
+{
+    const store_revision at{change.number.value};
+    if (!state.fleet.envelope) {
+        record_list_replacement(state.inventory, inventory_kind::configuration, at);
+        return;
+    }
+    for (const auto& [name, text] : change.parts.changed) {
+        record_change(state.inventory, inventory_kind::configuration, at, name);
+    }
+    for (const auto& name : change.parts.removed) {
+        record_change(state.inventory, inventory_kind::configuration, at, name);
     }
 }
 
+void report_misfit(control_state& state, const event& e, const fleet_change& change,
+                   const std::string& source, effects& out)
+{
+    state.fleet.needs_whole_copy = true;
+    decide(state, out, e.wall,
+           {"refuse_change",
+            "a change is applied only if its result has the fingerprint that the sender has",
+            "A change to generation " + std::to_string(change.number.value) +
+                " does not fit the one in force; the whole configuration is requested.",
+            {state.fleet.adopted_by},
+            {{"source", source}, {"since", std::to_string(change.since.value)}}});
+}
+
+/// Replaces the parsed form of the changed parts.
+void update_configuration(fleet_state& f, const fleet& replaced, fleet&& added, bool has_limits)
+{
+    for (const auto& [id, s] : replaced.services) {
+        f.configuration.services.erase(id);
+    }
+    f.configuration.services.merge(added.services);
+    if (has_limits) {
+        f.configuration.limits = added.limits;
+    }
+    f.routes = f.routes ? update_route_table(*f.routes, replaced.routes, added.routes)
+                        : make_route_table(added.routes);
+}
+
+std::size_t bytes_of(const part_texts& texts)
+{
+    return std::transform_reduce(texts.begin(), texts.end(), std::size_t{0}, std::plus<>{},
+                                 [](const auto& part) { return part.second.size(); });
+}
+
 /// Writes the configuration in force back to a platform that was restored to an older state.
 void restore_platform(control_state& state, const event& e, const fleet_envelope& seen,
                       effects& out)
@@ -136,6 +216,87 @@
 
 } // namespace
 
+generation generation_in_force(const control_state& state)
+{
+    return state.fleet.envelope ? state.fleet.envelope->number : generation{};
+}
+
+bool adopt_change(control_state& state, const event& e, fleet_change change, std::string encoded,
+                  const std::string& source, effects& out)
+{
+    auto& f = state.fleet;
+    const auto encoded_since = change.since;
+    const auto before = generation_in_force(state);
+    const bool has_gap = change.since > before;
+    if (change.number <= before || has_gap) {
+        return false;
+    }
+    if (change.since.value == 0 && f.envelope) {
+        fleet_parts whole;
+        for (auto& [name, text] : change.parts.changed) {
+            set_part(whole, name, std::move(text));
+        }
+        change.parts = difference(f.envelope->parts, whole);
+        change.since = before;
+    }
+    if (fingerprint_after(parts_in_force(state), change.parts) != change.fingerprint) {
+        report_misfit(state, e, change, source, out);
+        return false;
+    }
+    auto added = state.self.codec.parse(change.parts.changed);
+    auto replaced = state.self.codec.parse(replaced_texts(parts_in_force(state), change.parts));
+    for (const auto* parsed : {&added, &replaced}) {
+        if (const auto* findings = std::get_if<diagnostics>(parsed)) {
+            refuse(state, e, change.number, "", *findings, out);
+            return false;
+        }
+    }
+    record_changed_parts(state, change);
+    update_configuration(f, std::get<fleet>(replaced), std::get<fleet>(std::move(added)),
+                         change.parts.changed.contains(limits_part));
+    f.latest_change = std::move(encoded);
+    f.latest_change_since = encoded_since;
+    f.needs_whole_copy = false;
+    if (!f.envelope) {
+        f.envelope.emplace();
+    }
+    f.envelope->number = change.number;
+    const adopted_size size{bytes_of(change.parts.changed),
+                            change.parts.changed.size() + change.parts.removed.size()};
+    apply_change(f.envelope->parts, std::move(change.parts));
+    record_adoption(state, e, before, source, size, out);
+    apply_inventory_to_fleet(state);
+    return true;
+}
+
+std::string encoded_change_since(const control_state& state, generation have)
+{
+    const auto& f = state.fleet;
+    if (!f.envelope || f.envelope->number <= have) {
+        return {};
+    }
+    if (!f.latest_change.empty() && f.latest_change_since == have) {
+        return f.latest_change;
+    }
+    fleet_change change{{}, f.envelope->number, f.envelope->parts.fingerprint, {}};
+    const store_revision since{have.value};
+    const auto kind = inventory_kind::configuration;
+    if (have.value == 0 || !has_all_changes(state.inventory, kind, since)) {
+        change.parts.changed = f.envelope->parts.texts;
+        return encode(change);
+    }
+    change.since = have;
+    for (const auto& name : changed_names(state.inventory, kind, since)) {
+        const auto part = f.envelope->parts.texts.find(name);
+        if (part != f.envelope->parts.texts.end()) {
+            change.parts.changed.insert(*part);
+        } else {
+            change.parts.removed.push_back(name);
+        }
+    }
+    return encode(change);
+}
+
 void adopt(control_state& state, const event& e, const fleet_envelope& envelope,
            const std::string& source, effects& out)
 {
@@ -143,10 +304,13 @@
         report_generation_conflict(state, e, envelope, source, out);
         return;
     }
-    const auto parse = state.self.parse != nullptr ? state.self.parse : parse_fleet;
-    auto parsed = parse(envelope.text, "fleet");
+    if (state.self.codec.parse != nullptr) {
+        adopt_parts(state, e, envelope, source, out);
+        return;
+    }
+    auto parsed = parse_fleet(envelope.text, "fleet");
     if (const auto* findings = std::get_if<diagnostics>(&parsed)) {
-        refuse(state, e, envelope, *findings, out);
+        refuse(state, e, envelope.number, envelope.changed_by, *findings, out);
         return;
     }
     put_in_force(state, e, envelope, std::get<fleet>(std::move(parsed)), source, out);
@@ -237,7 +401,17 @@
                        effects& out)
 {
     if (succeeded(answer.envelope) && value_of(answer.envelope).number.value > 0) {
-        adopt(state, e, value_of(answer.envelope), answer.peer, out);
+        auto envelope = value_of(answer.envelope);
+        if (state.self.codec.split != nullptr) {
+            auto parts = state.self.codec.split(envelope.text);
+            if (!succeeded(parts)) {
+                refuse(state, e, envelope.number, envelope.changed_by,
+                       {{code_of(parts), "fleet", 0, error_of(parts).detail}}, out);
+                return;
+            }
+            envelope.parts = std::move(value_of(parts));
+        }
+        adopt(state, e, envelope, answer.peer, out);
     }
     start_serving_if_ready(state, e, out);
 }
--- a/source/control/fleet_adoption.h
+++ b/source/control/fleet_adoption.h
@@ -3,6 +3,7 @@
 #include "control/effect.h"
 #include "control/event.h"
 #include "control/state.h"
+#include "peer/fleet_change.h"
 
 /// Selects the configuration in force. Only one with a higher generation replaces it.
 namespace almondquay {
@@ -26,6 +27,19 @@
 void adopt(control_state& state, const event& e, const fleet_envelope& envelope,
            const std::string& source, effects& out);
 
+/// The generation in force; 0 if there is none.
+generation generation_in_force(const control_state& state);
+
+/// Puts a change of a configuration that is divided into parts in force, if it leads to a higher
+/// generation and the result has the sender's fingerprint. `encoded` is the same change, kept to be
+/// passed on. Returns whether it did.
+bool adopt_change(control_state& state, const event& e, fleet_change change, std::string encoded,
+                  const std::string& source, effects& out);
+
+/// The encoded change from generation `have` to the one in force, or the whole configuration if not
+/// all changes since are known. Empty if none is newer.
+std::string encoded_change_since(const control_state& state, generation have);
+
 /// Starts serving once the configuration in force is known from the platform or, if the platform
 /// cannot be reached, from a peer.
 void start_serving_if_ready(control_state& state, const event& e, effects& out);
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -197,7 +197,9 @@
     const auto changed = has_dropped ? list.at : std::min(list.read_changed, list.at);
     if (changed > list.changed) {
         list.changed = changed;
-        record_list_replacement(state.inventory, query.kind, list.changed);
+        if (query.kind != inventory_kind::configuration) { // Its changes are recorded by part.
+            record_list_replacement(state.inventory, query.kind, list.changed);
+        }
     }
     list.changed = std::max(list.changed, empty_list_revision);
     announce(state, out); // Peers may have missed the same changes without noticing.
@@ -216,12 +218,12 @@
     list.had_changes = has_changes;
     list.next_call = has_changes ? e.now + pause_after(query.kind) : e.now;
     for (const auto& item : page.items) {
-        record_change(state.inventory, query.kind, list.changed, item.name);
+        if (query.kind != inventory_kind::configuration) { // Its changes are recorded by part.
+            record_change(state.inventory, query.kind, list.changed, item.name);
+        }
     }
     if (has_changes) {
-        state.inventory.encoded_changes = query.kind == inventory_kind::configuration
-                                              ? std::string()
-                                              : encode_changes(state, query.kind, before);
+        state.inventory.encoded_changes = encode_changes(state, query.kind, before);
         announce(state, out);
         state.inventory.repeats_announcement = true;
     } else if (query.kind == inventory_kind::configuration ||
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -25,7 +25,6 @@
 /// Deaths more recent than this take precedence over other heartbeats.
 constexpr std::chrono::seconds urgent_death_time{10};
 constexpr std::size_t hosts_notified_per_other_domain = 4;
-constexpr std::chrono::milliseconds no_request_interval{0};
 /// One message in three goes to another failure domain.
 constexpr std::uint64_t cross_domain_interval = 3;
 /// Size of a message without heartbeats: signature, header, time, generation, fingerprint and the
@@ -374,9 +373,7 @@
         state.fleet.newest_heard = message.in_force;
         state.fleet.heard_at = e.now;
     }
-    if (message.in_force > own && e.now >= state.fleet.next_fetch) {
-        state.fleet.next_fetch =
-            e.now + (state.self.has_inventory ? copy_request_interval : no_request_interval);
+    if (message.in_force > own && !state.self.has_inventory) {
         out.emplace_back(fetch_fleet_effect{*peer});
     }
     handle_unreachable_report(state, e, message, out);
--- a/source/control/peer_inventory.cpp
+++ b/source/control/peer_inventory.cpp
@@ -1,5 +1,6 @@
 #include "control/peer_inventory.h"
 
+#include "control/decisions.h"
 #include "control/fleet_adoption.h"
 #include "control/inventory_changes.h"
 #include "control/inventory_items.h"
@@ -175,17 +176,33 @@
     return theirs.value != 0 && (!list.is_complete || theirs > list.at);
 }
 
+/// The generation in force for requests of copies.
+store_revision generation_for_request(const control_state& state)
+{
+    return state.fleet.needs_whole_copy ? store_revision{}
+                                        : store_revision{generation_in_force(state).value};
+}
+
+/// Requests what this host lacks, unless enough requests are running: a slow peer would otherwise
+/// be asked to send the same copy several times.
 void request_copy(control_state& state, const event& e, const endpoint& peer, effects& out)
 {
-    if (e.now < state.inventory.next_peer_query) {
+    auto& inventory = state.inventory;
+    std::erase_if(inventory.copies_requested,
+                  [&](const auto& entry) { return e.now - entry.second >= copy_request_timeout; });
+    if (e.now < inventory.next_peer_query || inventory.copies_requested.contains(peer) ||
+        inventory.copies_requested.size() >= max_running_copies) {
         return;
     }
-    state.inventory.next_peer_query = e.now + copy_request_interval;
+    inventory.next_peer_query = e.now + copy_request_interval;
+    inventory.copies_requested.emplace(peer, e.now);
     inventory_revisions have{};
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
-        const auto& list = state.inventory.lists.at(i);
+        const auto& list = inventory.lists.at(i);
         have.at(i) = list.is_complete ? list.at : store_revision{};
     }
+    have.at(static_cast<std::size_t>(inventory_kind::configuration)) =
+        generation_for_request(state);
     out.emplace_back(fetch_inventory_effect{peer, have});
 }
 
@@ -265,6 +282,8 @@
     const auto& inventory = state.inventory;
     inventory_copy copy;
     copy.at = revisions_of(inventory);
+    const auto generation_known = have.at(static_cast<std::size_t>(inventory_kind::configuration));
+    copy.configuration = encoded_change_since(state, generation{generation_known.value});
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         const auto kind = static_cast<inventory_kind>(i);
         const bool has_changes = copy.at.at(i) > have.at(i);
@@ -284,13 +303,31 @@
     return copy;
 }
 
-void handle_peer_inventory(control_state& state, const event& e, const peer_inventory_event& answer,
-                           effects& out)
+namespace {
+
+void report_unreadable_change(control_state& state, const event& e, const std::string& peer,
+                              const error& problem, effects& out)
 {
-    if (!succeeded(answer.copy)) {
-        return;
+    decide(state, out, e.wall,
+           {"refuse_change",
+            "a change that cannot be decoded is ignored",
+            "A change of the configuration from another host cannot be decoded.",
+            {},
+            {{"source", peer}, {"why", problem.detail}}});
+}
+
+/// Applies what a peer has sent, if it is newer.
+void apply_copy(control_state& state, const event& e, const inventory_copy& copy,
+                const std::string& peer, effects& out)
+{
+    if (copy.configuration && !copy.configuration->empty()) {
+        auto change = decode_fleet_change(*copy.configuration);
+        if (succeeded(change)) {
+            adopt_change(state, e, std::move(value_of(change)), *copy.configuration, peer, out);
+        } else {
+            report_unreadable_change(state, e, peer, error_of(change), out);
+        }
     }
-    const auto& copy = value_of(answer.copy);
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         const auto kind = static_cast<inventory_kind>(i);
         const bool is_wanted = kind != inventory_kind::configuration &&
@@ -302,13 +339,44 @@
     start_serving_if_ready(state, e, out);
 }
 
+} // namespace
+
+void handle_peer_inventory(control_state& state, const event& e, const peer_inventory_event& answer,
+                           effects& out)
+{
+    const auto peer = parse_endpoint(answer.peer);
+    if (succeeded(peer)) {
+        state.inventory.copies_requested.erase(value_of(peer));
+    }
+    if (!succeeded(answer.copy)) {
+        return;
+    }
+    const auto& copy = value_of(answer.copy);
+    apply_copy(state, e, copy, answer.peer, out);
+    // Earlier versions send the configuration as a text of its own.
+    const bool lacks_text =
+        !copy.configuration && state.fleet.newest_heard > generation_in_force(state);
+    if (lacks_text && succeeded(peer)) {
+        out.emplace_back(fetch_fleet_effect{value_of(peer)});
+    }
+}
+
 std::string encode_changes(const control_state& state, inventory_kind kind, store_revision since)
 {
-    inventory_revisions have;
-    have.fill(max_revision);
-    have.at(static_cast<std::size_t>(kind)) = since;
-    const bool is_known = since.value != 0 && has_all_changes(state.inventory, kind, since);
-    auto text = is_known ? encode(copy_of(state, have, state.now)) : std::string();
+    inventory_copy changes;
+    if (kind == inventory_kind::configuration) {
+        changes.configuration = state.fleet.latest_change;
+    } else {
+        if (since.value == 0 || !has_all_changes(state.inventory, kind, since)) {
+            return {};
+        }
+        inventory_revisions have;
+        have.fill(max_revision);
+        have.at(static_cast<std::size_t>(kind)) = since;
+        changes = copy_of(state, have, state.now);
+        changes.configuration.reset();
+    }
+    auto text = encode(changes);
     return text.size() <= max_recent_changes_bytes ? text : std::string();
 }
 
@@ -318,10 +386,12 @@
     if (message.recent_changes.empty() || !state.self.has_inventory || follows(state)) {
         return;
     }
-    handle_peer_inventory(
-        state, e,
-        peer_inventory_event{message.from.value, decode_inventory_copy(message.recent_changes)},
-        out);
+    const auto copy = decode_inventory_copy(message.recent_changes);
+    if (succeeded(copy)) {
+        apply_copy(state, e, value_of(copy), message.from.value, out);
+    } else {
+        report_unreadable_change(state, e, message.from.value, error_of(copy), out);
+    }
 }
 
 void compare_peer_revisions(control_state& state, const event& e, const gossip_message& message,
@@ -336,8 +406,7 @@
         auto& list = inventory.lists.at(i);
         const bool is_configuration =
             static_cast<inventory_kind>(i) == inventory_kind::configuration;
-        const bool lacks_text =
-            !state.fleet.envelope || message.in_force > state.fleet.envelope->number;
+        const bool lacks_text = message.in_force > generation_in_force(state);
         const bool behind =
             is_configuration ? lacks_text : is_behind(list, message.inventory.at(i));
         const bool is_confirmed =
@@ -352,7 +421,9 @@
         const bool can_read =
             follows(state) && list.failures == 0 &&
             (list.is_complete ? state.fleet.platform_reachable : list.call_running);
-        wants_copy = wants_copy || (!is_configuration && behind && !can_read);
+        // A change of the configuration costs little to fetch, so followers need not wait for the
+        // store either.
+        wants_copy = wants_copy || (behind && (is_configuration || !can_read));
     }
     if (wants_copy) {
         request_copy(state, e, peer, out);
@@ -378,12 +449,9 @@
     if (peer == nullptr) {
         return;
     }
-    if (lacks_lists && !reads_lists(state)) {
+    if ((lacks_lists && !reads_lists(state)) || !state.fleet.envelope) {
         request_copy(state, e, *peer, out);
     }
-    if (!state.fleet.envelope) {
-        out.emplace_back(fetch_fleet_effect{*peer});
-    }
 }
 
 void drop_confirmations_after_suspension(control_state& state, const event& e)
--- a/source/control/peer_inventory.h
+++ b/source/control/peer_inventory.h
@@ -12,6 +12,10 @@
 /// Minimum interval between two requests for a peer's copy.
 constexpr std::chrono::milliseconds copy_request_interval{300};
 
+/// Requests for copies that run at the same time, and how long an unanswered one counts.
+constexpr std::size_t max_running_copies = 2;
+constexpr std::chrono::milliseconds copy_request_timeout{1'000};
+
 /// The revision of each list on this host; 0 for a list that is not complete.
 inventory_revisions revisions_of(const inventory_state& inventory);
 
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -34,7 +34,7 @@
     std::map<failure_domain_id, region_id>
         domains{};              ///< region of each domain, unless the configuration text defines it
     bool has_inventory = false; ///< the store lists targets and hosts
-    decltype(store_protocol::parse_fleet) parse = nullptr; ///< parses the configuration's text
+    parts_codec codec{};        ///< for configurations that are divided into parts
     shared_budgets budgets{};
     std::chrono::milliseconds max_propagation_delay{
         2'000};                              ///< time limit for a change to take effect everywhere
@@ -93,11 +93,13 @@
     bool platform_reachable = false;
     bool watch_running = false;
     bool write_running = false;
-    unsigned failures = 0;       ///< consecutive failures of platform calls
-    monotonic_time next_fetch{}; ///< earliest next fetch from a peer
+    unsigned failures = 0; ///< consecutive failures of platform calls
     monotonic_time next_watch{};
     std::set<generation> refused;            ///< generations whose text could not be parsed
     std::optional<generation> last_conflict; ///< generation of the last recorded conflict
+    std::string latest_change;               ///< encoded fleet_change to the generation in force
+    generation latest_change_since;          ///< the generation to which it applies
+    bool needs_whole_copy = false;           ///< a change did not fit the configuration in force
     /// The newest generation that a peer is known to have in force, and when that became known.
     generation newest_heard;
     monotonic_time heard_at{};
@@ -149,6 +151,7 @@
     monotonic_time unreachable_since{}; ///< zero if the store answers or never answered
     monotonic_time reachable_since{};   ///< when the store became reachable again
     monotonic_time next_peer_query{};
+    std::map<endpoint, monotonic_time> copies_requested; ///< unanswered requests, by peer
     monotonic_time next_startup_query{};
     bool repeats_announcement = false; ///< at the next tick, since datagrams may get lost
     std::string encoded_changes;       ///< the latest changes, encoded for announcements
--- a/source/logging/event_schema.cpp
+++ b/source/logging/event_schema.cpp
@@ -60,9 +60,11 @@
      "A copy of the configuration or of lists, or of changes of them, came from another host."},
     {"control_busy", "took_ms work", false,
      "The control thread was busy with `work` for long, or a tick came late; other work waited."},
-    {"adopt_fleet", "before bytes change changed_by heard_ms_ago source", true,
+    {"adopt_fleet", "before bytes change changed_by heard_ms_ago parts source", true,
      "A configuration was activated; `heard_ms_ago` is how long another host was known to have "
      "it."},
+    {"refuse_change", "since source why", true,
+     "A change of the configuration from another host cannot be decoded or does not fit."},
     {"refuse_fleet", "changed_by findings first_finding", true,
      "A configuration is invalid and was not activated."},
     {"fleet_conflict", "seen_at", true,
--- a/source/peer/inventory_copy.cpp
+++ b/source/peer/inventory_copy.cpp
@@ -116,6 +116,9 @@
     for (const auto& row : whole.at("gone")) {
         copy.removed.push_back(decode_removed(row));
     }
+    if (const auto found = whole.find("configuration"); found != whole.end()) {
+        copy.configuration = found->get<std::string>();
+    }
     return copy;
 }
 
@@ -141,11 +144,14 @@
         removed.push_back(json::array(
             {static_cast<std::size_t>(entry.kind), entry.name, entry.grace_left.count()}));
     }
-    return json{{"at", to_json(copy.at)},          {"since", to_json(copy.since)},
-                {"names", std::move(names.names)}, {"targets", std::move(targets)},
-                {"hosts", std::move(hosts)},       {"evacuated", std::move(evacuated)},
-                {"gone", std::move(removed)}}
-        .dump();
+    json whole{{"at", to_json(copy.at)},          {"since", to_json(copy.since)},
+               {"names", std::move(names.names)}, {"targets", std::move(targets)},
+               {"hosts", std::move(hosts)},       {"evacuated", std::move(evacuated)},
+               {"gone", std::move(removed)}};
+    if (copy.configuration) {
+        whole["configuration"] = *copy.configuration;
+    }
+    return whole.dump();
 }
 
 result<inventory_copy> decode_inventory_copy(std::string_view text)
--- a/source/peer/inventory_copy.h
+++ b/source/peer/inventory_copy.h
@@ -3,11 +3,13 @@
 #include "common/result.h"
 #include "store/inventory.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-/// A host's copy of the store's inventory, or the changes in it, as exchanged between peers.
+/// A host's copy of the store's inventory, or the changes in it, as exchanged between peers. Among
+/// the revisions that a host sends to request one, that of the configuration is its generation.
 namespace almondquay {
 
 /// An entry that is no longer listed. A target whose entry expired while the store was unavailable
@@ -28,6 +30,9 @@
     std::vector<host> hosts;
     std::vector<failure_domain_id> evacuated;
     std::vector<removed_entry> removed;
+    /// An encoded fleet_change, empty if the peer's configuration is not newer. Nothing if the peer
+    /// does not send configurations in this way.
+    std::optional<std::string> configuration{};
 };
 
 /// Encodes as JSON.
--- a/source/steering/route_table.cpp
+++ b/source/steering/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
+#include <set>
 
 namespace almondquay {
 
@@ -15,23 +17,69 @@
     return result;
 }
 
-std::size_t prefix_size(const route_rule& rule)
+std::string_view prefix_of(const shared_rule_ptr& r)
 {
-    return rule.path_prefix.size();
+    return r->rule.path_prefix;
+}
+
+/// What a change does to the rules of one host name.
+struct host_change {
+    std::set<route_id> removed;
+    std::vector<shared_rule_ptr> added;
+};
+
+host_rules_ptr update_host(const host_rules* before, host_change&& change)
+{
+    boost::intrusive_ptr<host_rules> after(new host_rules);
+    if (before != nullptr) {
+        std::ranges::copy_if(
+            before->rules, std::back_inserter(after->rules),
+            [&](const shared_rule_ptr& r) { return !change.removed.contains(r->rule.id); });
+    }
+    const auto kept = static_cast<std::ptrdiff_t>(after->rules.size());
+    std::ranges::stable_sort(change.added, {}, prefix_of);
+    after->rules.insert(after->rules.end(), change.added.begin(), change.added.end());
+    std::ranges::inplace_merge(after->rules, after->rules.begin() + kept, {}, prefix_of);
+    for (const auto& r : after->rules) {
+        after->longest_prefix = std::max(after->longest_prefix, r->rule.path_prefix.size());
+    }
+    return after;
+}
+
+const route_rule* find_prefix(const host_rules& all, std::string_view prefix)
+{
+    const auto found = std::ranges::lower_bound(all.rules, prefix, {}, prefix_of);
+    return found != all.rules.end() && prefix_of(*found) == prefix ? &(*found)->rule : nullptr;
 }
 
 } // namespace
 
 route_table_ptr make_route_table(const std::vector<route_rule>& rules)
 {
-    boost::intrusive_ptr<route_table> table(new route_table);
-    for (const auto& rule : rules) {
-        table->by_host[lower(rule.host)].push_back(rule);
+    return update_route_table(route_table(), {}, rules);
+}
+
+route_table_ptr update_route_table(const route_table& before,
+                                   const std::vector<route_rule>& removed,
+                                   const std::vector<route_rule>& added)
+{
+    std::map<std::string, host_change> changes;
+    for (const auto& rule : removed) {
+        changes[lower(rule.host)].removed.insert(rule.id);
     }
-    for (auto& [host, host_rules] : table->by_host) {
-        std::ranges::stable_sort(host_rules, std::greater{}, prefix_size);
+    for (const auto& rule : added) {
+        changes[lower(rule.host)].added.emplace_back(new shared_rule(rule));
     }
-    return table;
+    boost::intrusive_ptr<route_table> after(new route_table);
+    after->by_host = before.by_host;
+    for (auto& [host, change] : changes) {
+        auto& rules = after->by_host[host];
+        rules = update_host(rules.get(), std::move(change));
+        if (rules->rules.empty()) {
+            after->by_host.erase(host);
+        }
+    }
+    return after;
 }
 
 const route_rule* find_rule(const route_table& table, std::string_view host, std::string_view path)
@@ -40,10 +88,16 @@
     if (found == table.by_host.end()) {
         return nullptr;
     }
-    const auto plain = path.substr(0, path.find('?'));
-    const auto rule = std::ranges::find_if(
-        found->second, [&](const route_rule& r) { return plain.starts_with(r.path_prefix); });
-    return rule == found->second.end() ? nullptr : &*rule;
+    const auto& rules = *found->second;
+    auto prefix = path.substr(0, path.find('?')).substr(0, rules.longest_prefix);
+    while (!prefix.empty()) {
+        prefix = prefix.substr(0, prefix.rfind('/') + 1); // All prefixes end with a slash.
+        if (const auto* rule = find_prefix(rules, prefix)) {
+            return rule;
+        }
+        prefix = prefix.substr(0, prefix.empty() ? 0 : prefix.size() - 1);
+    }
+    return nullptr;
 }
 
 std::string choose_service(const route_rule& rule, std::mt19937_64& random)
--- a/source/store/store_protocol.h
+++ b/source/store/store_protocol.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "config/diagnostic.h"
+#include "config/parts_codec.h"
 #include "http/message.h"
 #include "store/inventory.h"
 
@@ -23,9 +23,8 @@
     /// Encodes the HTTP request that removes a host from the registry.
     http::request (*encode_removal)(const host_id& id) = nullptr;
 
-    /// Parses a configuration. Diagnostics refer to it as `file`.
-    std::variant<fleet, diagnostics> (*parse_fleet)(std::string_view text,
-                                                    const std::string& file) = nullptr;
+    /// Divides and parses the configuration.
+    parts_codec configuration{};
 };
 
 } // namespace almondquay
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -1,3 +1,4 @@
+#include "control/fleet_adoption.h"
 #include "control/inventory_sync.h"
 #include "control/membership.h"
 #include "control/peer_inventory.h"
@@ -5,6 +6,7 @@
 #include "control/store_followers.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -31,18 +33,38 @@
             {"127.0.1." + number, 7001}};
 }
 
-std::variant<fleet, diagnostics> parse_test_fleet(std::string_view /*text*/,
-                                                  const std::string& /*file*/)
+std::variant<fleet, diagnostics> parse_test_parts(const part_texts& parts)
 {
     fleet f;
-    service s;
-    s.id.value = "s";
-    s.cold_time = milliseconds(3'000);
-    s.cold_requests_per_second = 3.5;
-    f.services.emplace(s.id, s);
+    for (const auto& [name, text] : parts) {
+        if (text == "broken") {
+            return diagnostics{{result_code::text_syntax, name, 0, "broken by the test"}};
+        }
+        service s;
+        s.id.value = name;
+        s.cold_time = milliseconds(3'000);
+        s.cold_requests_per_second = 3.5;
+        f.services.emplace(s.id, s);
+    }
     return f;
 }
 
+/// A configuration with one service for each word.
+result<fleet_parts> split_test_text(std::string_view text)
+{
+    fleet_parts parts;
+    std::istringstream words{std::string(text)};
+    for (std::string word; words >> word;) {
+        set_part(parts, word, word);
+    }
+    return parts;
+}
+
+fleet_envelope envelope_of(std::uint64_t number, std::string_view text)
+{
+    return {generation(number), std::string(text), {}, "", "", 0, value_of(split_test_text(text))};
+}
+
 /// A host with this weight is a follower of the store if all others have weight 1.
 constexpr double follower_weight = 1e6;
 
@@ -59,7 +81,7 @@
     self.domains = {{failure_domain_id("a"), region_id("r")},
                     {failure_domain_id("b"), region_id("r")}};
     self.has_inventory = true;
-    self.parse = parse_test_fleet;
+    self.codec = {split_test_text, nullptr, parse_test_parts};
     return make_control_state(self, n);
 }
 
@@ -82,7 +104,7 @@
 
 inventory_item configuration_of(std::uint64_t number)
 {
-    return {"main", fleet_envelope{generation(number), "text", {}, "", "", 0}};
+    return {"main", envelope_of(number, "s")};
 }
 
 /// The query of this kind that the store has not answered yet.
@@ -173,6 +195,40 @@
         all, [](const effect& e) { return std::holds_alternative<Effect>(e); }));
 }
 
+inventory_item item_with(std::uint64_t number, std::string_view services)
+{
+    return {"main", envelope_of(number, services)};
+}
+
+/// Delivers an encoded change of the configuration from a peer.
+void take_configuration(control_state& state, const std::string& encoded)
+{
+    inventory_copy copy;
+    copy.configuration = encoded;
+    reduce(state, at(seconds(2), peer_inventory_event{"peer", copy}));
+}
+
+std::string services_of(const control_state& state)
+{
+    std::string names;
+    for (const auto& [id, s] : state.fleet.configuration.services) {
+        names += id.value + " ";
+    }
+    return names;
+}
+
+/// The generation that a request for a copy says the host has.
+store_revision requested_generation(const effects& emitted)
+{
+    for (const auto& e : emitted) {
+        if (const auto* request = std::get_if<fetch_inventory_effect>(&e)) {
+            return request->have.at(static_cast<std::size_t>(inventory_kind::configuration));
+        }
+    }
+    CPPUNIT_FAIL("no copy was requested");
+    return {};
+}
+
 } // namespace
 
 class inventory_test : public CppUnit::TestFixture {
@@ -197,6 +253,11 @@
     CPPUNIT_TEST(the_stores_own_list_replaces_a_peers_copy);
     CPPUNIT_TEST(the_first_query_after_a_failure_is_not_a_long_poll);
     CPPUNIT_TEST(the_configuration_never_goes_back);
+    CPPUNIT_TEST(a_change_of_the_configuration_applies_to_the_generations_it_covers);
+    CPPUNIT_TEST(a_change_with_a_gap_before_it_is_not_applied);
+    CPPUNIT_TEST(a_change_that_leads_elsewhere_is_replaced_by_a_whole_copy);
+    CPPUNIT_TEST(a_change_with_a_broken_part_is_refused_as_a_whole);
+    CPPUNIT_TEST(the_text_is_requested_from_a_peer_that_sends_no_changes);
     CPPUNIT_TEST(evacuated_targets_get_nothing_and_come_back_cold);
     CPPUNIT_TEST(a_restarted_target_is_a_new_one);
     CPPUNIT_TEST(all_hosts_together_respect_the_rate_of_a_cold_target);
@@ -448,12 +509,11 @@
         reduce(state, at(milliseconds(450), peer_inventory_event{"seed", copy}));
         const auto next = reduce(state, at(milliseconds(850), tick_event{}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<fetch_inventory_effect>(next));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<fetch_fleet_effect>(next));
+        CPPUNIT_ASSERT(requested_generation(next) == store_revision{}); // All of it.
         copy.at.fill(store_revision(50));
         copy.targets = {target_of("t")};
         reduce(state, at(milliseconds(900), peer_inventory_event{"peer", copy}));
-        const fleet_envelope envelope{generation(4), "text", {}, "", "", 0};
-        reduce(state, at(milliseconds(901), peer_fleet_event{"peer", envelope}));
+        reduce(state, at(milliseconds(901), peer_fleet_event{"peer", envelope_of(4, "s")}));
         CPPUNIT_ASSERT(state.stage == life_stage::serving);
         CPPUNIT_ASSERT(knows(state, "t"));
     }
@@ -526,12 +586,81 @@
         auto state = serving_state({});
         answer(state, seconds(1), inventory_kind::configuration, {configuration_of(7)}, 11);
         answer(state, seconds(2), inventory_kind::configuration, {configuration_of(3)}, 12);
-        reduce(state,
-               at(seconds(3),
-                  peer_fleet_event{"peer", fleet_envelope{generation(5), "", {}, "", "", 0}}));
+        reduce(state, at(seconds(3), peer_fleet_event{"peer", envelope_of(5, "s")}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, state.fleet.envelope->number.value);
     }
 
+    void a_change_of_the_configuration_applies_to_the_generations_it_covers()
+    {
+        auto peer = serving_state({});
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(7, "s t u")}, 11);
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(9, "s t v")}, 12);
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(12, "s v w")}, 13);
+        for (const auto* known : {"s t u", "s t v"}) {
+            auto state = serving_state({});
+            const std::uint64_t number = std::string(known) == "s t u" ? 7 : 9;
+            answer(state, seconds(1), inventory_kind::configuration, {item_with(number, known)},
+                   11);
+            take_configuration(state, encoded_change_since(peer, generation(7)));
+            CPPUNIT_ASSERT_EQUAL(std::string("s v w "), services_of(state));
+            CPPUNIT_ASSERT_EQUAL(peer.fleet.fingerprint, state.fleet.fingerprint);
+        }
+    }
+
+    void a_change_with_a_gap_before_it_is_not_applied()
+    {
+        auto peer = serving_state({});
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(7, "s t")}, 11);
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(9, "s t u")}, 12);
+        auto state = serving_state({});
+        take_configuration(state, encoded_change_since(peer, generation(7)));
+        CPPUNIT_ASSERT_EQUAL(std::string("s "), services_of(state));
+        take_configuration(state, encoded_change_since(peer, generation(0)));
+        CPPUNIT_ASSERT_EQUAL(std::string("s t u "), services_of(state));
+    }
+
+    /// Two texts of one generation, after the store was restored to an older state.
+    void a_change_that_leads_elsewhere_is_replaced_by_a_whole_copy()
+    {
+        auto peer = serving_state({});
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(7, "s t")}, 11);
+        answer(peer, seconds(1), inventory_kind::configuration, {item_with(9, "s t u")}, 12);
+        auto state = serving_state({});
+        answer(state, seconds(1), inventory_kind::configuration, {item_with(7, "s other")}, 11);
+        take_configuration(state, encoded_change_since(peer, generation(7)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, state.fleet.envelope->number.value);
+        CPPUNIT_ASSERT(state.fleet.needs_whole_copy);
+        take_configuration(state, encoded_change_since(peer, generation(0)));
+        CPPUNIT_ASSERT_EQUAL(std::string("s t u "), services_of(state));
+        CPPUNIT_ASSERT(!state.fleet.needs_whole_copy);
+    }
+
+    void a_change_with_a_broken_part_is_refused_as_a_whole()
+    {
+        auto state = serving_state({});
+        auto parts = state.fleet.envelope->parts;
+        fleet_change change{state.fleet.envelope->number, generation(9), 0, {}};
+        change.parts.changed = {{"good", "good"}, {"x", "broken"}};
+        change.fingerprint = fingerprint_after(parts, change.parts);
+        take_configuration(state, encode(change));
+        CPPUNIT_ASSERT_EQUAL(std::string("s "), services_of(state));
+        CPPUNIT_ASSERT(state.fleet.refused.contains(generation(9)));
+    }
+
+    /// Earlier versions answer a request for a copy without the configuration.
+    void the_text_is_requested_from_a_peer_that_sends_no_changes()
+    {
+        auto state = serving_state({});
+        state.fleet.newest_heard = generation(9);
+        const auto emitted =
+            reduce(state, at(seconds(2), peer_inventory_event{"127.0.1.2:7001", inventory_copy{}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<fetch_fleet_effect>(emitted));
+        reduce(state,
+               at(seconds(2),
+                  peer_fleet_event{"peer", fleet_envelope{generation(9), "s z", {}, "", "", 0}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("s z "), services_of(state));
+    }
+
     void evacuated_targets_get_nothing_and_come_back_cold()
     {
         auto state = serving_state({item_of(target_of("t", "a")), item_of(target_of("u", "b"))});
--- a/unit_tests/control/store_world.cpp
+++ b/unit_tests/control/store_world.cpp
@@ -16,16 +16,37 @@
 constexpr milliseconds call_timeout{1'000};
 constexpr std::size_t page_size = 50;
 
-std::variant<fleet, diagnostics> parse_one_service(std::string_view /*text*/,
-                                                   const std::string& /*file*/)
+std::variant<fleet, diagnostics> parse_parts(const part_texts& parts)
 {
     fleet f;
-    service s;
-    s.id.value = "s";
-    f.services.emplace(s.id, s);
+    for (const auto& [name, text] : parts) {
+        if (name.starts_with("service/")) {
+            service s;
+            s.id.value = "s";
+            f.services.emplace(s.id, s);
+        } else {
+            route_rule rule;
+            rule.id.value = name;
+            rule.host = "a.example";
+            rule.path_prefix = "/" + text + "/";
+            f.routes.push_back(rule);
+        }
+    }
     return f;
 }
 
+fleet_parts service_alone()
+{
+    fleet_parts parts;
+    set_part(parts, "service/s", "s");
+    return parts;
+}
+
+result<fleet_parts> split_text(std::string_view /*text*/)
+{
+    return service_alone();
+}
+
 std::size_t index_of(inventory_kind kind)
 {
     return static_cast<std::size_t>(kind);
@@ -105,7 +126,7 @@
     self.life = incarnation(static_cast<std::uint64_t>(now_.count()));
     self.registration = running.self;
     self.has_inventory = true;
-    self.parse = parse_one_service;
+    self.codec = {split_text, nullptr, parse_parts};
     self.max_propagation_delay = settings_.max_propagation_delay;
     for (const auto& [other, h] : hosts_) {
         const auto& domain = h->self.domain;
@@ -192,13 +213,14 @@
         } else if (const auto* asked = std::get_if<query_inventory_effect>(&e)) {
             query_store(id, asked->query);
         } else if (const auto* copy = std::get_if<fetch_inventory_effect>(&e)) {
-            const auto answer = [this, have = copy->have](const control_state& state) {
+            const auto peer = to_string(copy->peer);
+            const auto answer = [this, peer, have = copy->have](const control_state& state) {
                 const auto text = encode(copy_of(state, have, steady_time(state.self.host)));
-                return copy_answer{peer_inventory_event{"peer", decode_inventory_copy(text)},
+                return copy_answer{peer_inventory_event{peer, decode_inventory_copy(text)},
                                    text.size()};
             };
             fetch(id, copy->peer, answer,
-                  peer_inventory_event{"peer", error{result_code::peer_unreachable, ""}});
+                  peer_inventory_event{peer, error{result_code::peer_unreachable, ""}});
         } else if (const auto* text = std::get_if<fetch_fleet_effect>(&e)) {
             const auto answer = [](const control_state& state) {
                 const auto envelope = state.fleet.envelope.value_or(fleet_envelope{});
@@ -397,22 +419,23 @@
 {
     return commit_change(
         inventory_kind::configuration, "main",
-        inventory_item{"main", fleet_envelope{generation(number), "text", {}, "", "", 0}});
+        inventory_item{"main",
+                       fleet_envelope{generation(number), "", {}, "", "", 0, service_alone()}});
 }
 
 store_revision store_world::put_routes(std::uint64_t number, std::size_t count)
 {
     constexpr std::size_t route_bytes = 300; // As the users' platform encodes a route.
-    std::string text;
+    auto parts = service_alone();
     for (std::size_t i = 0; i < count; ++i) {
         const auto changed_in = number - (number % count + count - i) % count;
         auto route = "route " + std::to_string(i) + " changed in " + std::to_string(changed_in);
         route.resize(route_bytes, '.');
-        text += route;
+        set_part(parts, "route/" + std::to_string(i), route);
     }
     return commit_change(
         inventory_kind::configuration, "main",
-        inventory_item{"main", fleet_envelope{generation(number), text, {}, "", "", 0}});
+        inventory_item{"main", fleet_envelope{generation(number), "", {}, "", "", 0, parts}});
 }
 
 void store_world::report_crash(const host_id& id, const crash_evidence& evidence)
--- a/unit_tests/platform/registry_test.cpp
+++ b/unit_tests/platform/registry_test.cpp
@@ -42,6 +42,11 @@
         "something new":1})");
 }
 
+part_texts parts_of(const json& document)
+{
+    return value_of(split_manifest(document.dump())).texts;
+}
+
 bool is_unreadable(const json& object, inventory_kind kind = inventory_kind::targets)
 {
     return std::holds_alternative<unreadable_entry>(decode_item(kind, object).entry);
@@ -55,6 +60,8 @@
     CPPUNIT_TEST(malformed_target_entries_are_unreadable);
     CPPUNIT_TEST(a_manifest_becomes_a_fleet);
     CPPUNIT_TEST(broken_manifests_are_findings);
+    CPPUNIT_TEST(a_manifest_is_the_same_after_it_was_divided);
+    CPPUNIT_TEST(of_several_configurations_in_one_answer_the_last_is_read);
     CPPUNIT_TEST(versions_are_hexadecimal);
     CPPUNIT_TEST(other_configurations_are_ignored);
     CPPUNIT_TEST(pages_and_changes_are_read);
@@ -98,16 +105,16 @@
 
     void a_manifest_becomes_a_fleet()
     {
-        const auto f = std::get<fleet>(parse_manifest(manifest().dump(), "m"));
+        const auto f = std::get<fleet>(parse_manifest_parts(parts_of(manifest())));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.routes.size());
-        const auto& split = f.routes[0];
+        const auto& split = f.routes[1]; // Parts are sorted by name: "route/p", "route/r".
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, split.parts.size());
         CPPUNIT_ASSERT_EQUAL(10.0, split.parts[1].weight);
         CPPUNIT_ASSERT(split.repeatable && split.by_object);
         CPPUNIT_ASSERT(split.timeout == std::chrono::milliseconds(1'500));
         CPPUNIT_ASSERT(split.objective == std::chrono::milliseconds(400));
         CPPUNIT_ASSERT(split.homes == std::vector{region_id("north")});
-        const auto& plain = f.routes[1];
+        const auto& plain = f.routes[0];
         CPPUNIT_ASSERT(!plain.repeatable && !plain.by_object && plain.homes.empty());
         CPPUNIT_ASSERT_EQUAL(std::string("s"), plain.parts.at(0).to.value);
         CPPUNIT_ASSERT_EQUAL(3.5, f.services.at(service_id("s")).cold_requests_per_second);
@@ -116,10 +123,45 @@
 
     void broken_manifests_are_findings()
     {
-        CPPUNIT_ASSERT(std::holds_alternative<diagnostics>(parse_manifest("{", "m")));
+        CPPUNIT_ASSERT(!succeeded(split_manifest("{")));
+        CPPUNIT_ASSERT(!succeeded(
+            split_manifest(R"({"version":"01","routes":[{"host":"h"}],"services":[]})")));
         auto without = manifest();
         without["routes"][0].erase("kind");
-        CPPUNIT_ASSERT(std::holds_alternative<diagnostics>(parse_manifest(without.dump(), "m")));
+        const auto parsed = parse_manifest_parts(parts_of(without));
+        CPPUNIT_ASSERT(std::holds_alternative<diagnostics>(parsed));
+        CPPUNIT_ASSERT_EQUAL(std::string("route/r"), std::get<diagnostics>(parsed).front().file);
+        CPPUNIT_ASSERT(
+            std::holds_alternative<diagnostics>(parse_manifest_parts({{"limits", "{"}})));
+    }
+
+    void a_manifest_is_the_same_after_it_was_divided()
+    {
+        const auto parts = value_of(split_manifest(manifest().dump()));
+        const auto joined = join_manifest(parts, generation(12));
+        CPPUNIT_ASSERT(value_of(split_manifest(joined)) == parts);
+        const auto envelope = decode_envelope(json::parse(joined));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, value_of(envelope).number.value);
+        CPPUNIT_ASSERT(value_of(envelope).parts == parts);
+    }
+
+    void of_several_configurations_in_one_answer_the_last_is_read()
+    {
+        auto newer = manifest();
+        newer["version"] = "0000000e";
+        json body{{"at", 9}, {"events", json::array()}};
+        for (const auto& document : {manifest(), newer}) {
+            body["events"].push_back(
+                {{"deleted", false},
+                 {"object", {{"metadata", {{"name", "main"}}}, {"spec", document}}}});
+        }
+        inventory_query query;
+        query.follow = true;
+        const auto page =
+            value_of(registry_protocol.decode_page(query, {http::status_ok, {}, body.dump()}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.items.size());
+        const auto& envelope = std::get<fleet_envelope>(page.items.front().entry);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{14}, envelope.number.value);
     }
 
     void versions_are_hexadecimal()
--- a/unit_tests/steering/route_table_test.cpp
+++ b/unit_tests/steering/route_table_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(the_longest_prefix_decides);
     CPPUNIT_TEST(hosts_are_compared_without_case_and_port);
     CPPUNIT_TEST(query_is_ignored_in_route_matching);
+    CPPUNIT_TEST(a_changed_table_shares_what_did_not_change);
     CPPUNIT_TEST(parts_are_distributed_by_weight);
     CPPUNIT_TEST_SUITE_END();
 
@@ -54,6 +55,25 @@
         CPPUNIT_ASSERT(find_rule(*table, "a", "/x/y/?q") != nullptr);
     }
 
+    void a_changed_table_shares_what_did_not_change()
+    {
+        const auto before = make_route_table({make_rule("a", "a.example", "/x/"),
+                                              make_rule("b", "a.example", "/y/"),
+                                              make_rule("c", "c.example", "/")});
+        const auto after =
+            update_route_table(*before, {make_rule("a", "a.example", "/x/")},
+                               {make_rule("a", "A.example", "/x/z/"), make_rule("d", "d", "/")});
+        CPPUNIT_ASSERT(find_rule(*after, "a.example", "/x/1") == nullptr);
+        CPPUNIT_ASSERT(find_rule(*after, "a.example", "/x/z/1") != nullptr);
+        CPPUNIT_ASSERT(find_rule(*after, "d", "/1") != nullptr);
+        CPPUNIT_ASSERT(find_rule(*before, "a.example", "/x/1") != nullptr);
+        CPPUNIT_ASSERT(find_rule(*after, "a.example", "/y/") ==
+                       find_rule(*before, "a.example", "/y/"));
+        CPPUNIT_ASSERT(after->by_host.at("c.example") == before->by_host.at("c.example"));
+        const auto emptied = update_route_table(*after, {make_rule("d", "d", "/")}, {});
+        CPPUNIT_ASSERT(!emptied->by_host.contains("d"));
+    }
+
     void parts_are_distributed_by_weight()
     {
         route_rule rule;
