Serve requests that arrive as their connection's idle timeout ends

Cause: the thread was starved of processor time for 0.2 s, and when it ran again it handled the idle timeout before the bytes that had arrived; the timeout cancelled the read and closed the connection. A stop of the host closed idle connections in the same way. Both now leave a connection alone that has unread data.

--- a/source/traffic/caller_connection.cpp
+++ b/source/traffic/caller_connection.cpp
@@ -22,6 +22,12 @@
     connection.changed.cancel();
 }
 
+bool has_unread_data(caller_connection& connection)
+{
+    error_code problem;
+    return connection.stream.socket().available(problem) != 0 && !problem;
+}
+
 bool is_last(const caller_connection& connection, std::uint64_t turn)
 {
     return connection.next_turn == turn + 1;
--- a/source/traffic/caller_connection.h
+++ b/source/traffic/caller_connection.h
@@ -54,6 +54,9 @@
 /// will be sent.
 void end_turn(caller_connection& connection);
 
+/// Whether the caller has sent data that has not been read yet.
+bool has_unread_data(caller_connection& connection);
+
 /// Whether this is the last request read so far, so that its response may close the connection.
 bool is_last(const caller_connection& connection, std::uint64_t turn);
 
--- a/source/traffic/caller_reader.cpp
+++ b/source/traffic/caller_reader.cpp
@@ -64,7 +64,8 @@
             if (problem || state->connection == nullptr) {
                 return;
             }
-            if (state->connection->is_busy()) {
+            // A busy thread may handle the timeout before a request that has arrived already.
+            if (state->connection->is_busy() || has_unread_data(*state->connection)) {
                 arm(state);
                 return;
             }
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -115,7 +115,7 @@
     }
     w.on_drained = std::move(on_drained);
     for (auto& caller : w.callers) {
-        if (!caller.is_busy()) {
+        if (!caller.is_busy() && !has_unread_data(caller)) {
             caller.closing = true;
             caller.stream.cancel();
         }
