--- a/benchmarks/configuration_change_benchmark.cpp
+++ b/benchmarks/configuration_change_benchmark.cpp
@@ -1,48 +1,22 @@
 #include "control/fleet_adoption.h"
 #include "control/reducer.h"
 #include "platform/registry_protocol.h"
+#include "platform/sample_manifest.h"
 #include "steering/route_table.h"
 
 #include <chrono>
 #include <cstdio>
 #include <string>
 
-#include <nlohmann/json.hpp>
-
-/// Measures the bytes and the time, in ms, of a change of one route by the number of routes: on a host
-/// that reads the store, on one that gets the change from a peer, and for finding a request's route.
+/// Measures the bytes and the time, in ms, of a change of one route by the number of routes: on a
+/// host that reads the store, on one that gets the change from a peer, and for finding a request's
+/// route.
 namespace {
 
 using namespace almondquay;
-using json = nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr int changes = 50;
-constexpr std::size_t host_names = 20;
-
-json manifest(std::size_t routes, std::size_t changed, std::uint64_t number)
-{
-    json all = json::array();
-    for (std::size_t i = 0; i < routes; ++i) {
-        all.push_back({{"name", "r" + std::to_string(i)},
-                       {"host", "h" + std::to_string(i % host_names) + ".example"},
-                       {"path_prefix", "/p" + std::to_string(i) + "/"},
-                       {"kind", "idempotent"},
-                       {"timeout_s", i == changed ? 2.5 : 2.0},
-                       {"target_latency_s", 0.5},
-                       {"priority", 2},
-                       {"service", "s"},
-                       {"max_attempts", 2},
-                       {"sticky", true},
-                       {"home_regions", json::array()}});
-    }
-    json services = json::array();
-    services.push_back(
-        {{"name", "s"}, {"health_path", "/h"}, {"warmup_s", 1}, {"cold_per_s", 4}});
-    char version[9] = {};
-    std::snprintf(version, sizeof version, "%08x", static_cast<unsigned>(number));
-    return {{"version", version}, {"routes", std::move(all)}, {"services", std::move(services)}};
-}
 
 control_state make_state()
 {
@@ -77,7 +51,8 @@
     std::size_t change_bytes = 0;
     for (int i = 0; i <= changes; ++i) {
         const auto number = static_cast<std::uint64_t>(i) + 1;
-        const auto text = manifest(routes, static_cast<std::size_t>(i) % routes, number).dump();
+        const auto text =
+            platform::sample_manifest(routes, static_cast<std::size_t>(i) % routes, number).dump();
         auto start = std::chrono::steady_clock::now();
         fleet_envelope envelope;
         envelope.number = generation(number);
@@ -103,7 +78,7 @@
     std::size_t found = 0;
     for (int i = 0; i < look_ups; ++i) {
         const auto n = static_cast<std::size_t>(i) % routes;
-        const auto host = "h" + std::to_string(n % host_names) + ".example";
+        const auto host = "h" + std::to_string(n % platform::sample_host_names) + ".example";
         found += find_rule(*relay.fleet.routes, host, "/p" + std::to_string(n) + "/x") != nullptr;
     }
     constexpr double us_per_ms = 1'000;
--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -31,8 +32,11 @@
 /// that is not HTTP), twice (two answers to one request), drop (closes the connection without an
 /// answer), exit (the process exits) and shed (a 503 that declares the request not executed). With
 /// an id it follows the protocol of the users' platform: it rejects requests that name another
-/// target, and its answers carry the request's id and its load. It counts executions by idempotency
-/// key, so that tests can check at-most-once execution.
+/// target, and its answers carry the request's id and its load. GET
+/// /state?limit=L&leaving=1&pause=S sets what it states about itself from then on: the requests a
+/// second that it takes, that it is leaving, and a pause that it asks for with each 503 ("-" ends a
+/// statement). It counts executions by idempotency key, so that tests can check at-most-once
+/// execution.
 namespace {
 
 namespace asio = boost::asio;
@@ -53,9 +57,17 @@
     std::uint32_t connections = 0;
     std::uint32_t most_connections = 0;
     std::map<std::string, std::uint64_t> runs_by_key;
+    std::string limit;   ///< stated in all answers unless empty
+    std::string leaving; ///< likewise
+    std::string pause;   ///< if not empty, requests are turned away with this Retry-After
+    std::chrono::steady_clock::time_point state_set;
+    std::vector<std::chrono::steady_clock::time_point> arrivals; ///< since `state_set`
     std::string runs_file; ///< file for keys of non-GET requests; kept over restarts
 };
 
+/// By then all callers have been told what the target states.
+constexpr std::chrono::seconds told_after{3};
+
 struct in_flight_guard {
     explicit in_flight_guard(target& owner) : t(owner)
     {
@@ -82,6 +94,20 @@
     return value.empty() ? fallback : std::stoull(value);
 }
 
+/// The most requests that arrived within any 4 s, from `after` on.
+std::size_t most_in_window(const target& t, std::chrono::milliseconds after)
+{
+    constexpr std::chrono::seconds window{4};
+    std::size_t most = 0;
+    const auto from = t.state_set + after;
+    for (auto first = std::ranges::lower_bound(t.arrivals, from); first != t.arrivals.end();
+         ++first) {
+        const auto last = std::ranges::upper_bound(t.arrivals, *first + window);
+        most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+}
+
 std::string stats(const target& t)
 {
     std::uint64_t repeated = 0;
@@ -93,7 +119,8 @@
            std::to_string(t.over_limit) + "\nkeys " + std::to_string(t.runs_by_key.size()) +
            "\nrepeated_keys " + std::to_string(repeated) + "\ncancelled " +
            std::to_string(t.cancelled) + "\nmost_connections " +
-           std::to_string(t.most_connections) + "\n";
+           std::to_string(t.most_connections) + "\narrivals " + std::to_string(t.arrivals.size()) +
+           "\nmost_in_4s " + std::to_string(most_in_window(t, told_after)) + "\n";
 }
 
 /// One line per execution of each key, so that tests can count executions across all targets.
@@ -108,6 +135,28 @@
     return text;
 }
 
+void set_state(target& t, const message::path_parts& parts)
+{
+    const auto set = [&](std::string_view name, std::string& value) {
+        const auto given = std::string(message::header_of(parts.parameters, name));
+        if (!given.empty()) {
+            value = given == "-" ? "" : given;
+        }
+    };
+    set("limit", t.limit);
+    set("leaving", t.leaving);
+    set("pause", t.pause);
+    t.arrivals.clear();
+    t.state_set = std::chrono::steady_clock::now();
+}
+
+/// The header lines in which the target states its limit and that it is leaving.
+std::string statements(const target& t)
+{
+    return (t.limit.empty() ? "" : "Server-Limit: " + t.limit + "\r\n") +
+           (t.leaving.empty() ? "" : "Server-Leaving: " + t.leaving + "\r\n");
+}
+
 std::string head(std::uint64_t length, std::string_view echo)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nEcho: " + std::string(echo) +
@@ -250,7 +299,13 @@
         co_await write_text(socket, head(0, ""), problem);
         co_return;
     }
-    const auto id_line = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
+    if (parts.path == "/state") {
+        set_state(t, parts);
+        co_await write_text(socket, head(0, ""), problem);
+        co_return;
+    }
+    auto id_line = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
+    id_line += statements(t);
     const auto expected = request["X-Expect-Instance"];
     if (!t.id.empty() && !expected.empty() && expected != t.id) {
         co_await write_text(
@@ -258,6 +313,15 @@
             problem);
         co_return;
     }
+    t.arrivals.push_back(std::chrono::steady_clock::now());
+    if (!t.pause.empty()) {
+        co_await write_text(socket,
+                            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                            "Retry-After: " +
+                                t.pause + "\r\n" + id_line + "Content-Length: 0\r\n\r\n",
+                            problem);
+        co_return;
+    }
     const in_flight_guard guard(t);
     ++t.runs;
     const auto key = request["Idempotency-Key"];
@@ -284,8 +348,7 @@
     }
     auto echo = std::string(message::header_of(parts.parameters, "echo"));
     if (!t.id.empty()) {
-        echo += "\r\nX-Request-Id: " + std::string(request["X-Request-Id"]) +
-                "\r\nX-Response-Seal: " + t.id +
+        echo += "\r\n" + id_line.substr(0, id_line.size() - 2) + "\r\nX-Response-Seal: " + t.id +
                 "\r\nX-Server-Load: " + std::to_string(t.in_flight) + ",0," +
                 std::to_string(t.slots);
     }
