Keep to the limits that targets name

Cause: nothing read the header. Ruled out by the code: hosts that hear of it too late, and shares whose sum exceeds the limit; both are what a share of each host would have brought about, as the sum over 195 hosts that may send one request each is beyond any limit.

Change: what a target states in a response that belongs to its request is kept by incarnation for all traffic threads (target_statements). A request for a target with a limit first gets a permit. Each region has an equal share of the limit, as many regions as the limit allows, so that a region that is cut off goes on; within a region one live host, by rendezvous hashing, issues the permits, and the others ask it by one datagram. A new issuer starts without permits. A denied request is placed again at once, which is no attempt and costs no retry budget; the share of objects that a target hands over follows the share of permits denied, so that the others stay where they are warm. What fits nowhere is refused at once with the time of the next permit (3024 targets_limited).

--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -299,7 +299,8 @@
         },
         [emit](request_fingerprint fingerprint) { emit(request_cleared_event{fingerprint}); },
         [emit](claim_requested_event wanted) { emit(claim_event{wanted}); },
-        [emit](claim_finished_event finished) { emit(claim_event{std::move(finished)}); }};
+        [emit](claim_finished_event finished) { emit(claim_event{std::move(finished)}); },
+        [emit](permit_wanted_event wanted) { emit(std::move(wanted)); }};
     auto traffic = traffic_server::create(settings, *d.metrics, events);
     if (!succeeded(traffic)) {
         return error_of(traffic);
--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -150,6 +150,11 @@
     i.traffic->deliver_verdict(e);
 }
 
+void run(interpreter& i, const permit_verdict_effect& e)
+{
+    i.traffic->deliver_permit(e);
+}
+
 void run(interpreter& i, const send_gossip_effect& e)
 {
     i.gossip->send(e.peer, e.message);
--- a/source/common/result_code.cpp
+++ b/source/common/result_code.cpp
@@ -72,6 +72,8 @@
      "Another target has taken over the address; it was not run."},
     {target_withdrawn, "target_withdrawn",
      "The target was withdrawn while its connection was made; it was not run."},
+    {targets_limited, "targets_limited",
+     "The targets take no more requests for now, as they have stated; it was not run."},
 
     {key_missing, "key_missing",
      "The route must not repeat and the request has no key; it was not run."},
--- a/source/common/result_code.h
+++ b/source/common/result_code.h
@@ -59,6 +59,7 @@
     target_failed = 3021,
     target_replaced = 3022,
     target_withdrawn = 3023,
+    targets_limited = 3024,
 
     key_missing = 4001,
     key_malformed = 4002,
--- a/source/control/effect.h
+++ b/source/control/effect.h
@@ -78,6 +78,13 @@
     crash_evidence evidence;
 };
 
+/// Resolves a request that waits for a permit. The traffic thread may have given up waiting.
+struct permit_verdict_effect {
+    std::uint64_t request = 0;
+    bool is_granted = false;
+    std::chrono::milliseconds retry_after{0}; ///< if denied: when the next permit is due
+};
+
 /// Sends a health check to a target. Completes with a probe_ended_event.
 struct probe_effect {
     target_id target;
@@ -95,12 +102,12 @@
 
 struct exit_effect {};
 
-using effect =
-    std::variant<publish_effect, watch_fleet_effect, write_fleet_effect, fetch_fleet_effect,
-                 send_gossip_effect, probe_effect, record_effect, stop_traffic_effect, exit_effect,
-                 read_claims_effect, write_claims_effect, send_claim_message_effect,
-                 claim_verdict_effect, share_evidence_effect, query_inventory_effect,
-                 register_host_effect, remove_host_effect, fetch_inventory_effect>;
+using effect = std::variant<publish_effect, watch_fleet_effect, write_fleet_effect,
+                            fetch_fleet_effect, send_gossip_effect, probe_effect, record_effect,
+                            stop_traffic_effect, exit_effect, read_claims_effect,
+                            write_claims_effect, send_claim_message_effect, claim_verdict_effect,
+                            share_evidence_effect, query_inventory_effect, register_host_effect,
+                            remove_host_effect, fetch_inventory_effect, permit_verdict_effect>;
 using effects = std::vector<effect>;
 
 } // namespace almondquay
--- a/source/control/event.h
+++ b/source/control/event.h
@@ -84,6 +84,14 @@
     request_fingerprint fingerprint = 0;
 };
 
+/// A request waits for a permit to be sent to a target that has named a limit.
+struct permit_wanted_event {
+    std::uint64_t request = 0; ///< the request's id on the traffic thread
+    target_id target;
+    incarnation life;
+    double limit = 0; ///< requests per second from all hosts, as the target named it last
+};
+
 /// An operator releases a request from quarantine.
 struct request_released_event {
     request_fingerprint fingerprint = 0;
@@ -100,7 +108,7 @@
                  target_report_event, probe_ended_event, stop_requested_event, traffic_ended_event,
                  crash_evidence_event, request_cleared_event, request_released_event, claim_event,
                  inventory_read_event, host_registered_event, peer_inventory_event,
-                 settings_changed_event>;
+                 settings_changed_event, permit_wanted_event>;
 
 /// The kind of an event, for logs: "tick", "gossip", "inventory_read" and so on.
 std::string_view name_of(const event_body& body);
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -3,6 +3,7 @@
 #include "control/decisions.h"
 #include "control/peer_inventory.h"
 #include "control/probing.h"
+#include "control/target_limits.h"
 #include "control/unreachable_targets.h"
 
 #include <algorithm>
@@ -377,6 +378,7 @@
         out.emplace_back(fetch_fleet_effect{*peer});
     }
     handle_unreachable_report(state, e, message, out);
+    handle_permit_messages(state, e, message, *peer, out);
     apply_announced_changes(state, e, message, out);
     compare_peer_revisions(state, e, message, *peer, out);
 }
--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -10,6 +10,7 @@
 #include "control/quarantine.h"
 #include "control/snapshot_builder.h"
 #include "control/target_health.h"
+#include "control/target_limits.h"
 #include "control/unreachable_targets.h"
 
 namespace almondquay {
@@ -75,6 +76,7 @@
     tick_health(state, e, out);
     tick_unreachable(state, e, out);
     tick_quarantine(state, e, out);
+    tick_limits(state, e);
     tick_stop(state, e, out);
     handle_claim_event(state, e, claim_tick_event{}, out);
 }
@@ -115,6 +117,7 @@
             [&](const host_registered_event& body) { handle_host_registered(state, e, body, out); },
             [&](const peer_inventory_event& body) { handle_peer_inventory(state, e, body, out); },
             [&](const settings_changed_event& body) { state.self.seeds = body.seeds; },
+            [&](const permit_wanted_event& body) { handle_permit_wanted(state, e, body, out); },
             [&](const claim_event& body) { handle_claim_event(state, e, body, out); },
         },
         e.body);
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -185,6 +185,13 @@
     std::string decided_by;
 };
 
+/// The permits that this host may issue for a target that has named a limit.
+struct permit_bucket {
+    incarnation life;
+    double permits = 0;
+    monotonic_time refilled{};
+};
+
 inline inventory_list& list_of(inventory_state& inventory, inventory_kind kind)
 {
     return inventory.lists.at(static_cast<std::size_t>(kind));
@@ -203,6 +210,7 @@
     inventory_state inventory;
     membership_state membership;
     std::map<target_id, target_health> targets;
+    std::map<target_id, permit_bucket> limits;
     std::set<target_id> unreported_unreachable; ///< not reported to other hosts yet
     std::map<request_fingerprint, suspect> suspects;
     std::map<request_fingerprint, quarantined_request> quarantined;
--- a/source/logging/event_schema.cpp
+++ b/source/logging/event_schema.cpp
@@ -17,6 +17,12 @@
      "left_ms mean_queue objective_ms predicted_wait_ms report_age_ms request service target "
      "work_ms",
      false, "No target was predicted to answer in time; the best candidate and its predictions."},
+    {"target_statement", "ignored life limit target", false,
+     "A target began or ceased to name a limit, or changed it (`limit` empty: none); `ignored` is "
+     "a "
+     "header whose value is malformed."},
+    {"permit_denied", "life limit limit_age_ms request retry_after_ms service target", false,
+     "A request was not sent to a target that has named a limit; another target is tried."},
     {"attempt_failed",
      "generation in_flight outcome report_age_ms request result service target took_ms waiting",
      false, "An attempt to send a request to a target failed."},
--- a/source/peer/gossip_message.cpp
+++ b/source/peer/gossip_message.cpp
@@ -50,6 +50,48 @@
     return heartbeats;
 }
 
+json encode_requests(const std::vector<permit_request>& requests)
+{
+    json rows = json::array();
+    for (const auto& r : requests) {
+        rows.push_back(json::array({r.number, r.target.value, r.life.value, r.limit}));
+    }
+    return rows;
+}
+
+std::vector<permit_request> decode_requests(const json& rows)
+{
+    std::vector<permit_request> requests;
+    for (const auto& row : rows) {
+        permit_request r;
+        r.number = row.at(0).get<std::uint64_t>();
+        r.target.value = row.at(1).get<std::string>();
+        r.life.value = row.at(2).get<std::uint64_t>();
+        r.limit = row.at(3).get<double>();
+        requests.push_back(std::move(r));
+    }
+    return requests;
+}
+
+json encode_replies(const std::vector<permit_reply>& replies)
+{
+    json rows = json::array();
+    for (const auto& r : replies) {
+        rows.push_back(json::array({r.number, r.is_granted, r.retry_after.count()}));
+    }
+    return rows;
+}
+
+std::vector<permit_reply> decode_replies(const json& rows)
+{
+    std::vector<permit_reply> replies;
+    for (const auto& row : rows) {
+        replies.push_back({row.at(0).get<std::uint64_t>(), row.at(1).get<bool>(),
+                           std::chrono::milliseconds(row.at(2).get<std::int64_t>())});
+    }
+    return replies;
+}
+
 } // namespace
 
 std::string encode(const gossip_message& message, const shared_secret& secret)
@@ -71,7 +113,8 @@
          message.fingerprint, encode_heartbeats(message.heartbeats), std::move(inventory),
          std::move(confirmed), message.wants_reply, encode_heartbeats(message.suspects),
          message.reply_address.address, message.reply_address.port, message.recent_changes,
-         std::move(unreachable)});
+         std::move(unreachable), encode_requests(message.permit_requests),
+         encode_replies(message.permit_replies)});
     const auto bytes = json::to_cbor(whole);
     std::string body(bytes.begin(), bytes.end());
     return sign(secret, body) + body;
@@ -106,6 +149,11 @@
                 message.unreachable.emplace_back(id.get<std::string>());
             }
         }
+        constexpr std::size_t permits_index = 14; // Likewise.
+        if (whole.size() > permits_index + 1) {
+            message.permit_requests = decode_requests(whole.at(permits_index));
+            message.permit_replies = decode_replies(whole.at(permits_index + 1));
+        }
         for (std::size_t i = 0; i < inventory_kinds; ++i) {
             message.inventory.at(i).value = whole.at(6).at(i).get<std::uint64_t>();
             const std::chrono::milliseconds age(whole.at(7).at(i).get<std::int64_t>());
--- a/source/peer/gossip_message.h
+++ b/source/peer/gossip_message.h
@@ -28,6 +28,24 @@
     bool operator==(const member_heartbeat&) const = default;
 };
 
+/// Asks for a permit to send one request to a target that has named a limit.
+struct permit_request {
+    std::uint64_t number = 0; ///< chosen by the asking host
+    target_id target;
+    incarnation life;
+    double limit = 0; ///< requests per second, as the target named it last
+
+    bool operator==(const permit_request&) const = default;
+};
+
+struct permit_reply {
+    std::uint64_t number = 0;
+    bool is_granted = false;
+    std::chrono::milliseconds retry_after{0}; ///< if denied: when the next permit is due
+
+    bool operator==(const permit_reply&) const = default;
+};
+
 struct gossip_message {
     host_id from;
     hybrid_time time;
@@ -44,6 +62,8 @@
     std::vector<member_heartbeat>
         suspects{};                       ///< suspected hosts, to be refuted by newer heartbeats
     std::vector<target_id> unreachable{}; ///< targets that refused the sender's connections
+    std::vector<permit_request> permit_requests{};
+    std::vector<permit_reply> permit_replies{};
 
     bool operator==(const gossip_message&) const = default;
 };
--- a/source/trace/request_cause.cpp
+++ b/source/trace/request_cause.cpp
@@ -19,9 +19,11 @@
 /// Whether a line explains why a request ended with this result.
 bool explains_result(const log_line& line, std::string_view result)
 {
-    return line.event == "attempt_failed"
-               ? field_of(line, "result") == result
-               : line.event == "placement_refused" && result == name_of(overloaded);
+    if (line.event == "attempt_failed") {
+        return field_of(line, "result") == result;
+    }
+    return (line.event == "placement_refused" && result == name_of(overloaded)) ||
+           (line.event == "permit_denied" && result == name_of(targets_limited));
 }
 
 std::string text_of(std::string_view value)
@@ -127,6 +129,11 @@
     if (result == name_of(overloaded)) {
         return overload_text(a);
     }
+    if (result == name_of(targets_limited)) {
+        return target + " takes " + text_of(field_of(a, "limit")) +
+               " requests a second from all hosts together, and its next one was due in " +
+               milliseconds_text(field_of(a, "retry_after_ms")) + "; no other target had room.";
+    }
     if (result == name_of(target_shed)) {
         return shed_text(a);
     }
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -1,6 +1,7 @@
 #include "traffic/exchange.h"
 
 #include "traffic/caller_reader.h"
+#include "traffic/request_log.h"
 #include "traffic/spill.h"
 
 #include <algorithm>
@@ -380,13 +381,47 @@
     return std::chrono::seconds(seconds);
 }
 
+/// What the target states about itself in this response.
+stated_values statements_in(const wire_profile& profile, const upstream_parser& parser)
+{
+    stated_values values;
+    const auto& answer = parser.get();
+    const auto [first, last] = answer.equal_range(profile.limit_header);
+    if (profile.limit_header.empty() || first == last) {
+        return values;
+    }
+    const auto text = first->value();
+    values.limit = std::next(first) == last ? parse_limit({text.data(), text.size()})
+                                            : std::optional<double>{};
+    values.malformed = values.limit ? std::string_view{} : profile.limit_header;
+    return values;
+}
+
+/// Records what the target states about itself. An answer of another target at its address says
+/// nothing about it.
+void note_statements(worker& w, const slot& used, const upstream_parser& parser,
+                     clock::time_point sent)
+{
+    if (used.is_spill ||
+        (used.checks_identity && parser.get().result_int() == status_wrong_target)) {
+        return;
+    }
+    const auto now = clock::now();
+    const auto values = statements_in(*w.context.profile, parser);
+    const auto changed = w.context.statements->note(used.target, used.life, values, sent, now);
+    if (changed || !values.malformed.empty()) {
+        log_statement(w, used.target, used.life, changed, values.malformed);
+    }
+}
+
 asio::awaitable<forward_result> handle_response(worker& w, caller_request& request,
                                                 const slot& used, upstream_connection& upstream,
-                                                upstream_parser& parser)
+                                                upstream_parser& parser, clock::time_point sent)
 {
     if (belongs_to_other_request(w, request, parser)) {
         co_return lost_result(request, result_code::target_answer_malformed);
     }
+    note_statements(w, used, parser, sent);
     const auto& answer = parser.get();
     if (const auto name = w.context.profile->load_header; !name.empty()) {
         const auto report = answer[name];
@@ -411,6 +446,7 @@
                                          connection_ptr upstream)
 {
     error_code problem;
+    const auto sent = clock::now();
     request.upstream = upstream;
     const auto header_deadline = response_deadline(w, request, *upstream);
     upstream->stream.expires_at(header_deadline);
@@ -432,7 +468,7 @@
     }
     const bool target_keeps_alive = parser->keep_alive();
     upstream->idle_timeout = idle_timeout_of(*parser);
-    auto end = co_await handle_response(w, request, used, *upstream, *parser);
+    auto end = co_await handle_response(w, request, used, *upstream, *parser, sent);
     request.upstream.reset();
     if (target_keeps_alive && parser->is_done()) {
         put_idle(w.upstreams, used.address, upstream);
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -27,6 +27,12 @@
 /// Delay before testing whether a target has crashed: a crashing target may close its connections
 /// slightly before its listener.
 constexpr std::chrono::milliseconds crash_check_delay{150};
+/// How long to wait for the host that issues permits, and how long to leave its target alone if it
+/// does not answer.
+constexpr std::chrono::milliseconds permit_timeout{150};
+constexpr std::chrono::milliseconds unanswered_permit_pause{500};
+/// Number of targets with a limit that one attempt asks for a permit.
+constexpr unsigned max_permit_requests = 3;
 
 /// Returns the slot to the pool when the attempt ends, whatever its result.
 struct slot_guard {
@@ -102,10 +108,17 @@
     return criteria;
 }
 
+/// A target chosen for an attempt.
+struct chosen_target {
+    target_route route;
+    std::optional<double> limit; ///< that the target has named
+};
+
 /// Chooses the target for the next attempt of a request if the targets of its service are shared by
 /// all hosts.
-std::optional<slot> take_shared(worker& w, caller_request& request,
-                                const std::vector<target_id>& excluded, forward_result& refused)
+std::optional<chosen_target> choose_shared(worker& w, caller_request& request,
+                                           const std::vector<target_id>& excluded,
+                                           forward_result& refused)
 {
     const auto found = w.snapshot->services.find(request.service);
     if (found == w.snapshot->services.end()) {
@@ -113,13 +126,17 @@
         return std::nullopt;
     }
     const auto now = clock::now();
-    const auto criteria = make_criteria(w, request, excluded);
+    const auto statements = w.context.statements->current();
+    auto criteria = make_criteria(w, request, excluded);
+    criteria.statements = statements.get();
     std::uniform_real_distribution<double> uniform(0, 1);
     const auto chosen =
         place_or_refuse(found->second.targets, w.loads, criteria, uniform(w.random), now);
     if (chosen.target == nullptr) {
-        refused.code = chosen.any_usable ? result_code::no_free_slot : result_code::no_live_target;
-        refused.retry_after = shortest_retry_after;
+        refused.code = !chosen.any_usable                ? result_code::no_live_target
+                       : chosen.next_permit.count() != 0 ? result_code::targets_limited
+                                                         : result_code::no_free_slot;
+        refused.retry_after = std::max(chosen.next_permit, shortest_retry_after);
         return std::nullopt;
     }
     if (chosen.is_refused) {
@@ -128,11 +145,59 @@
         refused.retry_after = std::max(chosen.wait, shortest_retry_after);
         return std::nullopt;
     }
-    const auto& t = *chosen.target;
     log_placement(w, request, chosen);
-    note_sent(w.loads[t.id], t, now);
-    slot taken{request.service, t.id, t.address, t.sheds_unrun, false, 0, t.checks_identity};
-    return taken;
+    return chosen_target{*chosen.target, chosen.limit};
+}
+
+/// Waits for a permit to send one request to a target that has named a limit. Without an answer it
+/// counts as denied.
+asio::awaitable<permit_verdict_effect> request_permit(worker& w, const chosen_target& chosen)
+{
+    const auto number = w.context.first_request + w.permit_requests++;
+    permit_wait wait(w.io);
+    wait.signal.expires_after(permit_timeout);
+    w.permits[number] = &wait;
+    w.context.events.permit_wanted({number, chosen.route.id, chosen.route.life, *chosen.limit});
+    error_code ignored;
+    co_await wait.signal.async_wait(redirect_error_to(ignored));
+    w.permits.erase(number);
+    co_return wait.verdict.value_or(permit_verdict_effect{number, false, unanswered_permit_pause});
+}
+
+/// Chooses a target and, if it has named a limit, gets a permit for it. After a denied permit
+/// another target is chosen; that is no attempt, as nothing was sent.
+asio::awaitable<std::optional<slot>> take_shared(worker& w, caller_request& request,
+                                                 const std::vector<target_id>& excluded,
+                                                 forward_result& refused)
+{
+    for (unsigned asked = 0; asked < max_permit_requests; ++asked) {
+        const auto chosen = choose_shared(w, request, excluded, refused);
+        if (!chosen) {
+            co_return std::nullopt;
+        }
+        const auto& t = chosen->route;
+        if (chosen->limit) {
+            const auto permit = co_await request_permit(w, *chosen);
+            note_permit(w.loads[t.id], permit.is_granted, permit.retry_after, clock::now());
+            if (!permit.is_granted) {
+                log_permit_denied(w, request, t, *chosen->limit, permit.retry_after);
+                refused.code = result_code::targets_limited;
+                refused.retry_after = std::max(permit.retry_after, shortest_retry_after);
+                continue;
+            }
+            if (request.caller->gone) {
+                refused = {result_code::caller_gone, outcome::not_run, false, false, {}};
+                co_return std::nullopt;
+            }
+            if (!is_usable(*w.snapshot, request.service, t.id)) {
+                continue;
+            }
+        }
+        note_sent(w.loads[t.id], t, clock::now());
+        co_return slot{request.service, t.id, t.address,         t.sheds_unrun,
+                       false,           0,    t.checks_identity, t.life};
+    }
+    co_return std::nullopt;
 }
 
 std::uint32_t slots_of(const worker& w, const slot& used)
@@ -304,7 +369,7 @@
                                                           forward_result& end)
 {
     auto refused = end;
-    const auto taken = take_shared(w, request, excluded, refused);
+    const auto taken = co_await take_shared(w, request, excluded, refused);
     if (!taken) {
         if (excluded.empty()) {
             end = refused;
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -24,6 +24,7 @@
     double score = 0;
     milliseconds wait{0};
     double handed_over = 0;
+    std::optional<double> limit;
 };
 
 bool is_home(const placement_criteria& criteria, const target_route& t)
@@ -111,9 +112,26 @@
     return least;
 }
 
+const target_statement* statement_of(const placement_criteria& criteria, const target_route& t)
+{
+    return criteria.statements == nullptr ? nullptr : find_statement(*criteria.statements, t);
+}
+
+/// The time until a permit for this target is due; 0 if one may be due now or none is needed.
+milliseconds time_to_permit(const target_statement* statement, const target_load* load,
+                            clock::time_point now)
+{
+    const bool is_limited = statement != nullptr && statement->limit;
+    if (!is_limited || load == nullptr || now >= load->no_permit_until) {
+        return milliseconds{0};
+    }
+    return std::chrono::ceil<milliseconds>(load->no_permit_until - now);
+}
+
+/// Also sets what `chosen` says of all targets together.
 std::vector<candidate> find_candidates(const std::vector<target_route>& targets,
                                        const load_table& loads, const placement_criteria& criteria,
-                                       clock::time_point now, bool& any_usable)
+                                       clock::time_point now, placement& chosen)
 {
     std::vector<candidate> all;
     std::vector<candidate> avoided;
@@ -121,16 +139,26 @@
         if (!t.usable || !is_home(criteria, t) || is_excluded(criteria, t)) {
             continue;
         }
-        any_usable = true;
+        chosen.any_usable = true;
         const auto* load = find_load(loads, t.id);
         if (!has_cold_capacity(t, load, now)) {
             continue;
         }
+        const auto* statement = statement_of(criteria, t);
+        if (const auto wait = time_to_permit(statement, load, now); wait.count() != 0) {
+            chosen.next_permit =
+                chosen.next_permit.count() == 0 ? wait : std::min(chosen.next_permit, wait);
+            continue;
+        }
         candidate c;
         c.target = &t;
         c.distance = criteria.stay_near && t.in_region != criteria.near_region ? 1 : 0;
         c.wait = predicted_wait(t, load, criteria, now);
         c.handed_over = load == nullptr ? 0 : handed_over_share(*load, now);
+        if (statement != nullptr && statement->limit) {
+            c.limit = statement->limit;
+            c.handed_over = load == nullptr ? 0 : std::max(c.handed_over, denied_share(*load, now));
+        }
         c.score = criteria.object ? rendezvous_score(*criteria.object, t)
                                   : -static_cast<double>(c.wait.count());
         (load != nullptr && now < load->avoid_until ? avoided : all).push_back(c);
@@ -177,11 +205,29 @@
     return std::clamp(excess, 0.0, max_handed_over);
 }
 
+double denied_share(const target_load& load, clock::time_point now)
+{
+    const std::chrono::duration<double> age = now - load.denied_at;
+    const std::chrono::duration<double> half_life = denied_half_life;
+    return load.denied_share * std::exp2(-age / half_life);
+}
+
+void note_permit(target_load& load, bool is_granted, milliseconds retry_after,
+                 clock::time_point now)
+{
+    const auto before = denied_share(load, now);
+    load.denied_share = before + ((is_granted ? 0.0 : 1.0) - before) * permit_weight;
+    load.denied_at = now;
+    if (!is_granted) {
+        load.no_permit_until = now + retry_after;
+    }
+}
+
 placement place(const std::vector<target_route>& targets, const load_table& loads,
                 const placement_criteria& criteria, clock::time_point now)
 {
     placement chosen;
-    auto all = find_candidates(targets, loads, criteria, now, chosen.any_usable);
+    auto all = find_candidates(targets, loads, criteria, now, chosen);
     if (all.empty()) {
         return chosen;
     }
@@ -195,6 +241,7 @@
     chosen.target = all[best].target;
     chosen.wait = all[best].wait;
     chosen.position = best;
+    chosen.limit = all[best].limit;
     return chosen;
 }
 
--- a/source/traffic/placement.h
+++ b/source/traffic/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/routing_snapshot.h"
+#include "traffic/target_statements.h"
 
 #include <chrono>
 #include <cstdint>
@@ -30,6 +31,10 @@
     /// Other targets are preferred until then; set after consecutive failures.
     std::chrono::steady_clock::time_point avoid_until{};
     unsigned failures = 0; ///< consecutive
+    /// No permit for a target with a limit is due before; set when one was denied.
+    std::chrono::steady_clock::time_point no_permit_until{};
+    double denied_share = 0; ///< moving average of the share of permits that were denied
+    std::chrono::steady_clock::time_point denied_at{}; ///< when `denied_share` was updated
     /// When requests were sent to the target while it was cold, within the last second.
     std::deque<std::chrono::steady_clock::time_point> cold_sends;
 };
@@ -48,6 +53,7 @@
     std::chrono::milliseconds time_left{1'000};
     std::chrono::milliseconds work{100};              ///< time per request on a warm target
     const std::vector<target_id>* excluded = nullptr; ///< targets that have failed this request
+    const statement_table* statements = nullptr;      ///< of the targets; none if null
 };
 
 struct placement {
@@ -56,6 +62,10 @@
     std::size_t position = 0;             ///< index in the object's target order
     bool any_usable = false; ///< a target is usable, though possibly at its limit for cold targets
     bool is_refused = false; ///< refused, since the response would most likely be too late
+    std::optional<double> limit; ///< that the target has named; the request then needs a permit
+    /// If no target may be used: time until the first one that has named a limit takes a request; 0
+    /// if no limit is the reason.
+    std::chrono::milliseconds next_permit{0};
 };
 
 /// Transferring a response larger than this between regions costs more than serving it from a cold
@@ -78,6 +88,10 @@
 constexpr double report_weight = 0.4;
 /// Half-life of the mean queue length while no load report arrives.
 constexpr std::chrono::milliseconds queue_half_life{2'000};
+/// Weight of the newest answer in the moving average of denied permits, and its half-life while
+/// none is asked for.
+constexpr double permit_weight = 0.2;
+constexpr std::chrono::milliseconds denied_half_life{4'000};
 /// Half-life of the reported number of requests from other hosts.
 constexpr std::chrono::milliseconds report_half_life{300};
 
@@ -113,6 +127,14 @@
 /// The share of its objects that a target hands over to the next targets in their order.
 double handed_over_share(const target_load& load, std::chrono::steady_clock::time_point now);
 
+/// The share of its objects that a target with a limit hands over: as many as permits are denied,
+/// so that the objects that stay are always served by the same target.
+double denied_share(const target_load& load, std::chrono::steady_clock::time_point now);
+
+/// Updates the load with the answer to a request for a permit.
+void note_permit(target_load& load, bool is_granted, std::chrono::milliseconds retry_after,
+                 std::chrono::steady_clock::time_point now);
+
 /// Estimate of the number of requests that are queued or running at a target.
 double expected_in_flight(const target_load& load, std::chrono::steady_clock::time_point now);
 
--- a/source/traffic/request_log.cpp
+++ b/source/traffic/request_log.cpp
@@ -117,6 +117,41 @@
                 {"report_age_ms", age_text(known, clock::now())}});
 }
 
+void log_statement(worker& w, const target_id& target, incarnation life,
+                   const std::optional<target_statement>& changed, std::string_view malformed)
+{
+    if (!take_line(w, line_kind::failure)) {
+        return;
+    }
+    const bool is_limited = changed && changed->limit;
+    log::write(log::level::info, "target_statement",
+               {{"target", target.value},
+                {"life", std::to_string(life.value)},
+                {"limit", is_limited ? std::to_string(*changed->limit) : ""},
+                {"ignored", std::string(malformed)}});
+}
+
+void log_permit_denied(worker& w, const caller_request& request, const target_route& target,
+                       double limit, std::chrono::milliseconds retry_after)
+{
+    w.context.metrics->add({"requests_held_back_total", request.service, "limit"});
+    if (!take_line(w, line_kind::failure)) {
+        return;
+    }
+    const auto statements = w.context.statements->current();
+    const auto* statement = find_statement(*statements, target);
+    const auto age =
+        statement == nullptr ? clock::duration{} : clock::now() - statement->limited_since;
+    log::write(log::level::info, "permit_denied",
+               {{"request", request.id},
+                {"service", request.service},
+                {"target", target.id.value},
+                {"life", std::to_string(target.life.value)},
+                {"limit", std::to_string(limit)},
+                {"limit_age_ms", milliseconds_text(age)},
+                {"retry_after_ms", std::to_string(retry_after.count())}});
+}
+
 void log_refused(worker& w, const std::string& request, result_code code)
 {
     if (!take_line(w, line_kind::failure)) {
--- a/source/traffic/request_log.h
+++ b/source/traffic/request_log.h
@@ -19,6 +19,14 @@
 void log_placement_refused(worker& w, const caller_request& request, const placement& chosen,
                            const placement_criteria& criteria);
 
+/// Logs that a target's statement about itself changed, or that one of its headers was ignored.
+void log_statement(worker& w, const target_id& target, incarnation life,
+                   const std::optional<target_statement>& changed, std::string_view malformed);
+
+/// Logs that a request was not sent to a target that has named a limit.
+void log_permit_denied(worker& w, const caller_request& request, const target_route& target,
+                       double limit, std::chrono::milliseconds retry_after);
+
 /// Logs a request that was refused, or whose caller disconnected, before its route was known or its
 /// body was read.
 void log_refused(worker& w, const std::string& request, result_code code);
--- a/source/traffic/slot_pool.h
+++ b/source/traffic/slot_pool.h
@@ -24,6 +24,7 @@
     bool is_spill = false;        ///< the target is an entry host of another failure domain
     double bytes_per_second = 0;  ///< rate limit of a spilled request
     bool checks_identity = false; ///< rejects requests for another target instance
+    incarnation life{};
 };
 
 /// A request that waits for a slot. Owned by its coroutine; the pool only links it.
--- a/source/traffic/traffic_events.h
+++ b/source/traffic/traffic_events.h
@@ -13,6 +13,7 @@
     std::function<void(request_fingerprint)> cleared; ///< a suspected request was served
     std::function<void(claim_requested_event)> claim_requested;
     std::function<void(claim_finished_event)> claim_finished;
+    std::function<void(permit_wanted_event)> permit_wanted;
 };
 
 } // namespace almondquay
--- a/source/traffic/traffic_server.cpp
+++ b/source/traffic/traffic_server.cpp
@@ -34,6 +34,7 @@
 
 struct traffic_server::shared_state {
     std::unique_ptr<slot_pool> slots;
+    std::unique_ptr<statement_board> statements;
     std::vector<std::unique_ptr<running_worker>> workers;
 };
 
@@ -43,6 +44,7 @@
 {
     auto state = std::make_unique<shared_state>();
     state->slots = slot_pool::create();
+    state->statements = statement_board::create();
     traffic_context context{settings.host,
                             settings.domain,
                             settings.secret,
@@ -51,6 +53,7 @@
                             settings.budgets,
                             settings.max_connections,
                             state->slots.get(),
+                            state->statements.get(),
                             &metrics,
                             events,
                             0};
@@ -84,6 +87,7 @@
 void traffic_server::publish(const snapshot_ptr& snapshot)
 {
     state_->slots->apply(*snapshot);
+    state_->statements->apply(*snapshot, std::chrono::steady_clock::now());
     for (auto& w : state_->workers) {
         asio::post(w->state.io, [w = &w->state, snapshot] { w->snapshot = snapshot; });
     }
@@ -95,6 +99,12 @@
     asio::post(w->state.io, [w = &w->state, verdict] { take_verdict(*w, verdict); });
 }
 
+void traffic_server::deliver_permit(const permit_verdict_effect& verdict)
+{
+    auto& w = state_->workers[verdict.request / requests_per_thread];
+    asio::post(w->state.io, [w = &w->state, verdict] { take_permit(*w, verdict); });
+}
+
 void traffic_server::stop(std::function<void()> on_drained)
 {
     const auto left = std::make_shared<std::atomic<std::size_t>>(state_->workers.size());
--- a/source/traffic/traffic_server.h
+++ b/source/traffic/traffic_server.h
@@ -2,6 +2,7 @@
 
 #include "common/authentication.h"
 #include "config/process_settings.h"
+#include "control/effect.h"
 #include "control/event.h"
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
@@ -43,6 +44,9 @@
     /// Delivers a claim's verdict to the request that waits for it. Called from the control thread.
     void deliver_verdict(const claim_verdict_effect& verdict);
 
+    /// Delivers the answer to a request that waits for a permit. Called from the control thread.
+    void deliver_permit(const permit_verdict_effect& verdict);
+
     /// Stops accepting requests; `on_drained` is called from any thread after the last one has
     /// ended.
     void stop(std::function<void()> on_drained);
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -152,6 +152,15 @@
     }
 }
 
+void take_permit(worker& w, const permit_verdict_effect& verdict)
+{
+    const auto waiting = w.permits.find(verdict.request);
+    if (waiting != w.permits.end()) {
+        waiting->second->verdict = verdict;
+        waiting->second->signal.cancel();
+    }
+}
+
 void report_target(worker& w, const target_id& target, target_evidence evidence)
 {
     auto& failures = w.consecutive_failures[target];
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/authentication.h"
+#include "control/effect.h"
 #include "control/event.h"
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
@@ -8,6 +9,7 @@
 #include "traffic/placement.h"
 #include "traffic/retry_budget.h"
 #include "traffic/slot_pool.h"
+#include "traffic/target_statements.h"
 #include "traffic/traffic_events.h"
 #include "traffic/upstream_pool.h"
 #include "traffic/wire_profile.h"
@@ -34,6 +36,7 @@
     shared_budgets budgets;
     std::uint32_t max_connections = 0; ///< for each thread
     slot_pool* slots = nullptr;
+    statement_board* statements = nullptr;
     metrics::registry* metrics = nullptr;
     traffic_events events;
     std::uint64_t first_request = 0; ///< number of this thread's first claim request
@@ -49,6 +52,14 @@
     std::optional<claim_verdict_effect> verdict;
 };
 
+/// A request that waits for a permit to be sent to a target that has named a limit.
+struct permit_wait {
+    explicit permit_wait(asio::io_context& io) : signal(io) {}
+
+    asio::steady_timer signal;
+    std::optional<permit_verdict_effect> verdict;
+};
+
 /// Observed processing time and response size of a route's requests.
 struct route_estimate {
     double work_ms = 100;      ///< time per request on a warm target without queueing
@@ -81,6 +92,8 @@
     std::map<target_id, unsigned> consecutive_failures;
     std::map<std::uint64_t, verdict_wait*> verdicts; ///< by number of the claim request
     std::uint64_t claim_requests = 0;                ///< number of claims requested so far
+    std::map<std::uint64_t, permit_wait*> permits;   ///< by number of the permit request
+    std::uint64_t permit_requests = 0;               ///< number of permits requested so far
     std::set<request_fingerprint> suspects; ///< sent by this thread to a target that then crashed
     bool stopping = false;
     std::function<void()> on_drained; ///< called once when the last connection has ended
@@ -95,6 +108,9 @@
 /// Wakes the request that waits for this verdict.
 void take_verdict(worker& w, const claim_verdict_effect& verdict);
 
+/// Wakes the request that waits for this permit, if it still does.
+void take_permit(worker& w, const permit_verdict_effect& verdict);
+
 /// Updates the slowest recent response time of a service, which decays with each response.
 void note_response_time(worker& w, const std::string& service,
                         std::chrono::steady_clock::duration took);
--- a/unit_tests/control/store_world.cpp
+++ b/unit_tests/control/store_world.cpp
@@ -208,6 +208,10 @@
     for (const auto& e : all) {
         if (const auto* gossip = std::get_if<send_gossip_effect>(&e)) {
             send(id, *gossip);
+        } else if (const auto* permit = std::get_if<permit_verdict_effect>(&e)) {
+            if (permit->is_granted) {
+                permits_[permit_targets_.at(permit->request)].push_back(now_);
+            }
         } else if (const auto* evidence = std::get_if<share_evidence_effect>(&e)) {
             share(id, *evidence);
         } else if (const auto* asked = std::get_if<query_inventory_effect>(&e)) {
@@ -438,6 +442,13 @@
         inventory_item{"main", fleet_envelope{generation(number), "", {}, "", "", 0, parts}});
 }
 
+void store_world::want_permit(const host_id& id, const target_id& target, double limit)
+{
+    const auto number = ++permit_requests_;
+    permit_targets_.emplace(number, target);
+    deliver(id, hosts_.at(id)->life, permit_wanted_event{number, target, incarnation(1), limit});
+}
+
 void store_world::report_crash(const host_id& id, const crash_evidence& evidence)
 {
     deliver(id, hosts_.at(id)->life, crash_evidence_event{evidence, false});
--- a/unit_tests/control/store_world.h
+++ b/unit_tests/control/store_world.h
@@ -50,6 +50,14 @@
     void report_crash(const host_id& id, const crash_evidence& evidence);
     /// Reports to the host that a target refused its connection.
     void report_refused_connection(const host_id& id, const target_id& target);
+    /// A request of this host asks for a permit to be sent to a target that has named a limit.
+    void want_permit(const host_id& id, const target_id& target, double limit);
+    /// When permits were granted, by target.
+    const std::map<target_id, std::vector<std::chrono::milliseconds>>& permits() const
+    {
+        return permits_;
+    }
+
     /// Bytes of copies and of announced changes that the hosts have sent to each other.
     std::size_t copied_bytes() const { return copied_bytes_; }
     /// Number of calls between hosts that carried crash evidence.
@@ -138,6 +146,9 @@
     bool store_unreachable_ = false;
     std::size_t evidence_calls_ = 0;
     std::size_t copied_bytes_ = 0;
+    std::uint64_t permit_requests_ = 0;
+    std::map<std::uint64_t, target_id> permit_targets_; ///< by number of the request
+    std::map<target_id, std::vector<std::chrono::milliseconds>> permits_;
     store_revision revision_{1};
     std::array<std::map<std::string, inventory_item>, inventory_kinds> objects_;
     std::vector<change> history_;
--- a/unit_tests/traffic/placement_test.cpp
+++ b/unit_tests/traffic/placement_test.cpp
@@ -28,6 +28,15 @@
     return all;
 }
 
+/// A table in which one target has named a limit.
+statement_table_ptr make_statements(const std::vector<target_route>& targets, std::size_t limited,
+                                    double limit)
+{
+    boost::intrusive_ptr<statement_table> table(new statement_table);
+    table->targets[targets.at(limited).id] = {targets.at(limited).life, limit, {}};
+    return table;
+}
+
 placement_criteria criteria_for(std::uint64_t object)
 {
     placement_criteria criteria;
@@ -267,6 +276,8 @@
     CPPUNIT_TEST(usual_load_is_served_in_time);
     CPPUNIT_TEST(load_recovers_after_a_burst);
     CPPUNIT_TEST(full_queues_of_cold_work_drain);
+    CPPUNIT_TEST(a_target_without_a_permit_hands_over_the_same_objects);
+    CPPUNIT_TEST(what_fits_within_no_limit_is_refused_with_the_time_of_the_next_permit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -471,6 +482,52 @@
             simulate(strategy::by_object, usual_rate, seconds(30), seconds(10), true);
         CPPUNIT_ASSERT(fraction_in_time(after) >= 0.9);
     }
+
+    /// Half of the permits are denied, so half of the objects move, and always the same ones.
+    void a_target_without_a_permit_hands_over_the_same_objects()
+    {
+        const auto targets = make_targets(4);
+        const auto limited = make_statements(targets, 0, 2.0);
+        load_table loads;
+        for (int i = 0; i < 100; ++i) {
+            note_permit(loads[targets[0].id], i % 2 == 0, milliseconds(0), start);
+        }
+        std::size_t kept = 0;
+        std::size_t all = 0;
+        for (std::uint64_t object = 0; object < 400; ++object) {
+            auto criteria = criteria_for(object);
+            const auto before = place(targets, {}, criteria, start);
+            criteria.statements = limited.get();
+            const auto first = place(targets, loads, criteria, start);
+            const auto second = place(targets, loads, criteria, start);
+            CPPUNIT_ASSERT(first.target == second.target);
+            if (before.target == &targets[0]) {
+                ++all;
+                kept += first.target == &targets[0] ? 1 : 0;
+                CPPUNIT_ASSERT(first.target != &targets[0] || first.limit == 2.0);
+            }
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, static_cast<double>(kept) / static_cast<double>(all),
+                                     0.15);
+    }
+
+    void what_fits_within_no_limit_is_refused_with_the_time_of_the_next_permit()
+    {
+        const auto targets = make_targets(1);
+        const auto limited = make_statements(targets, 0, 2.0);
+        load_table loads;
+        note_permit(loads[targets[0].id], false, milliseconds(700), start);
+        auto criteria = criteria_for(1);
+        criteria.statements = limited.get();
+        const auto refused = place(targets, loads, criteria, start + milliseconds(100));
+        CPPUNIT_ASSERT(refused.target == nullptr && refused.any_usable);
+        CPPUNIT_ASSERT(refused.next_permit == milliseconds(600));
+        CPPUNIT_ASSERT(place(targets, loads, criteria, start + milliseconds(700)).target !=
+                       nullptr);
+        criteria.statements = nullptr; // The limit was lifted.
+        CPPUNIT_ASSERT(place(targets, loads, criteria, start + milliseconds(100)).target !=
+                       nullptr);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
