Let one host of a region issue the permits while hosts are not known yet

The test of the sum over 198 hosts failed when it was played for 40 s instead of 30 s: 176 permits in 4 s for a limit of 20. The first heartbeats of a region of 66 hosts take their time, so each host chose the issuer among the hosts that it had heard of, and several issued at once. Listed hosts count as live until the first heartbeat may have taken its time, as for the followers of the store; and a host that has started or was suspended issues nothing for 8 s, until all hosts know that it lives.

--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -267,6 +267,7 @@
     const auto gap = now - membership.last_tick;
     const bool was_paused = membership.last_tick != monotonic_time{} && gap > pause_threshold;
     if (was_paused) {
+        membership.resumed = now;
         for (auto& [id, m] : membership.members) {
             m.last_advance += gap;
         }
--- a/source/control/peer_inventory.cpp
+++ b/source/control/peer_inventory.cpp
@@ -465,6 +465,7 @@
     if (is_first || std::chrono::abs(wall - steady) < tolerated_drift) {
         return;
     }
+    state.membership.resumed = e.now;
     for (auto& list : state.inventory.lists) {
         list.confirmed = {};
     }
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -71,6 +71,7 @@
     std::map<host_id, member> members; ///< other hosts only
     std::uint64_t own_beat = 0;
     monotonic_time last_tick{};
+    monotonic_time resumed{}; ///< when this process last ran again after a pause
     wall_time last_wall_tick{};
     double gossip_credit = 0; ///< token bucket level in bytes
     std::uint64_t gossip_messages_sent =
--- a/source/control/target_limits.cpp
+++ b/source/control/target_limits.cpp
@@ -41,14 +41,19 @@
     return regions;
 }
 
-bool is_live(const control_state& state, const host_id& id)
+/// Whether a host counts as live for the choice of an issuer. The first heartbeat of a host takes
+/// its time in a large region. If hosts did not count it as live until then, each would choose
+/// among the ones that it has heard of, and several hosts would issue permits for the same target.
+bool may_issue(const control_state& state, const host_id& id)
 {
     if (id == state.self.host) {
         return state.stage == life_stage::serving;
     }
     const auto found = state.membership.members.find(id);
-    return found != state.membership.members.end() && found->second.alive &&
-           !found->second.leaving && !found->second.starting;
+    if (found == state.membership.members.end()) {
+        return state.now - state.started < far_timeout(state.inventory.hosts.size());
+    }
+    return found->second.alive && !found->second.leaving && !found->second.starting;
 }
 
 milliseconds time_to_permit(double missing, double rate)
@@ -61,6 +66,11 @@
     if (issuer_of_permits(state, request.target) != state.self.host) {
         return {request.number, false, other_issuer_pause};
     }
+    const auto settled_at =
+        std::max(state.started, state.membership.resumed) + issuer_settling_time;
+    if (e.now < settled_at) {
+        return {request.number, false, std::chrono::ceil<milliseconds>(settled_at - e.now)};
+    }
     const auto share = share_of_region(state, request.target, request.limit);
     if (share.rate == 0) {
         return {request.number, false, no_share_pause};
@@ -103,7 +113,7 @@
     host_id issuer = state.self.host;
     std::uint64_t highest = 0;
     for (const auto& [id, h] : state.fleet.configuration.hosts) {
-        if (region_in(state, h.domain) != home || !is_live(state, id)) {
+        if (region_in(state, h.domain) != home || !may_issue(state, id)) {
             continue;
         }
         if (const auto rank = rank_for(target, id); rank >= highest) {
