Test answers that a target repeats on a kept connection or ends in their header

Reported by operators of other systems: clients were told 'not run' for requests that had run, as a target wrote an earlier refusal once more on a kept connection; and got a 200 with an empty body, as a target closed in the middle of its answer's header.

--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -29,14 +29,15 @@
 /// Fake target with a few slots. Query parameters select work and faults: ms (processing time),
 /// bytes (size of the answer), fault, endless (an endless answer until the other end closes; see
 /// `endless_shapes`). Faults are cut (a truncated answer), never (no answer), garbage (an answer
-/// that is not HTTP), twice (two answers to one request), drop (closes the connection without an
-/// answer), exit (the process exits) and shed (a 503 that declares the request not executed). With
-/// an id it follows the protocol of the users' platform: it rejects requests that name another
-/// target, and its answers carry the request's id and its load. GET
-/// /state?limit=L&leaving=1&pause=S sets what it states about itself from then on: the requests a
-/// second that it takes, that it is leaving, and a pause that it asks for with each 503 ("-" ends a
-/// statement). It counts executions by idempotency key, so that tests can check at-most-once
-/// execution.
+/// that is not HTTP), twice (two answers to one request), repeat (like shed, and the same refusal
+/// once more when the next request arrives on the connection), head0 to head2 (closes in the middle
+/// of the answer's header), drop (closes the connection without an answer), exit (the process
+/// exits) and shed (a 503 that declares the request not executed). With an id it follows the
+/// protocol of the users' platform: it rejects requests that name another target, and its answers
+/// carry the request's id and its load. GET /state?limit=L&leaving=1&pause=S sets what it states
+/// about itself from then on: the requests a second that it takes, that it is leaving, and a pause
+/// that it asks for with each 503 ("-" ends a statement). It counts executions by idempotency key,
+/// so that tests can check at-most-once execution.
 namespace {
 
 namespace asio = boost::asio;
@@ -57,6 +58,8 @@
     std::uint32_t connections = 0;
     std::uint32_t most_connections = 0;
     std::map<std::string, std::uint64_t> runs_by_key;
+    /// By connection: a refusal that is sent once more when the next request arrives.
+    std::map<const tcp::socket*, std::string> repeated_refusal;
     std::string limit;   ///< stated in all answers unless empty
     std::string leaving; ///< likewise
     std::string pause;   ///< if not empty, requests are turned away with this Retry-After
@@ -271,6 +274,17 @@
             socket,
             head(declared_length, "cut\r\n" + id_line.substr(0, id_line.size() - 2)) + "half",
             problem);
+    } else if (fault.starts_with("head")) {
+        constexpr std::array<std::string_view, 3> lines{"Content-Length: 0\r\n", "Content-Le", ""};
+        const auto last = lines.at(static_cast<std::size_t>(fault.back() - '0'));
+        co_await write_text(
+            socket, "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n" + id_line + std::string(last),
+            problem);
+    } else if (fault == "repeat") {
+        t.repeated_refusal[&socket] = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" +
+                                      id_line + "Content-Length: 0\r\n\r\n";
+        co_await write_text(socket, t.repeated_refusal[&socket], problem);
+        co_return;
     } else if (fault == "shed") {
         co_await write_text(socket,
                             "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + id_line +
@@ -313,6 +327,9 @@
             problem);
         co_return;
     }
+    if (const auto refusal = t.repeated_refusal.extract(&socket)) {
+        co_await write_text(socket, refusal.mapped(), problem);
+    }
     t.arrivals.push_back(std::chrono::steady_clock::now());
     if (!t.pause.empty()) {
         co_await write_text(socket,
@@ -375,6 +392,7 @@
         }
     }
     --t.connections;
+    t.repeated_refusal.erase(&socket);
 }
 
 asio::awaitable<void> listen(target& t, almondquay::endpoint at)
