Refuse requests that would outlast a stopping host

Reported by operators of other systems, and it happens here: a request that reaches a stopping host late is passed on and cut when the host is killed at the end of its grace period, also one that must not repeat. The process test sends one of 2.5 s 1.6 s after the stop with 4 s of grace: it was run and got no answer; now it is refused at once with Retry-After and does not run, while one sent at 0.2 s is served.

Look-ups list the host no more, so the caller finds another one.

--- a/source/control/reducer.cpp
+++ b/source/control/reducer.cpp
@@ -30,6 +30,7 @@
         is_bounded ? std::min(full_grace, state.self.stop_grace / leave_grace_divisor) : full_grace;
     state.stage = life_stage::leaving;
     state.leave_deadline = e.now + grace;
+    state.stop_deadline = is_bounded ? e.now + state.self.stop_grace : monotonic_time{};
     state.snapshot_is_stale = true;
     state.stop_decision =
         decide(state, out, e.wall,
--- a/source/control/snapshot_builder.cpp
+++ b/source/control/snapshot_builder.cpp
@@ -164,6 +164,7 @@
     boost::intrusive_ptr<routing_snapshot> snapshot(new routing_snapshot);
     snapshot->ready = state.stage != life_stage::starting;
     snapshot->leaving = state.stage == life_stage::leaving || state.stage == life_stage::ending;
+    snapshot->stop_deadline = state.stop_deadline;
     snapshot->home = region_of(state.fleet.configuration, state.self.domain);
     snapshot->blocks = state.fleet.blocks ? state.fleet.blocks : make_block_table({});
     for (const auto& [fingerprint, q] : state.quarantined) {
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -221,6 +221,8 @@
     monotonic_time started{};        ///< time of the first event
     monotonic_time now{};            ///< time of the event being reduced
     monotonic_time leave_deadline{}; ///< when cached look-up answers have expired
+    monotonic_time
+        stop_deadline{}; ///< when this process will be killed; zero if it is not stopping
     std::string stop_decision;
     hybrid_time clock;
     std::uint64_t decisions = 0;
--- a/source/steering/routing_snapshot.h
+++ b/source/steering/routing_snapshot.h
@@ -46,7 +46,9 @@
     generation in_force; ///< of the configuration in force
     bool ready = false;
     bool leaving = false; ///< this host is leaving the fleet
-    region_id home;       ///< region of this host
+    /// While leaving: when this process will be killed; zero if there is no limit.
+    std::chrono::steady_clock::time_point stop_deadline{};
+    region_id home; ///< region of this host
     block_table_ptr blocks;
     std::set<std::uint64_t> quarantined; ///< fingerprints of refused requests
     std::map<std::string, service_routes, std::less<>> services;
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -27,6 +27,8 @@
 /// Delay before testing whether a target has crashed: a crashing target may close its connections
 /// slightly before its listener.
 constexpr std::chrono::milliseconds crash_check_delay{150};
+/// Time that a stopping host keeps for responses on their way.
+constexpr std::chrono::milliseconds stop_margin{500};
 /// How long to wait for the host that issues permits, and how long to leave its target alone if it
 /// does not answer.
 constexpr std::chrono::milliseconds permit_timeout{150};
@@ -407,10 +409,29 @@
     return end;
 }
 
+/// Whether a stopping host would most likely be killed before the request has ended, judged by the
+/// slowest recent response of its service.
+bool would_outlast_host(const worker& w, const caller_request& request)
+{
+    const auto deadline = w.snapshot->stop_deadline;
+    const auto slowest = w.slowest_response_ms.find(request.service);
+    if (!w.snapshot->leaving || deadline == clock::time_point{} ||
+        slowest == w.slowest_response_ms.end()) {
+        return false;
+    }
+    const std::chrono::duration<double, std::milli> needed(slowest->second);
+    return clock::now() + stop_margin + needed > deadline;
+}
+
 } // namespace
 
 asio::awaitable<forward_result> forward(worker& w, caller_request& request)
 {
+    if (would_outlast_host(w, request)) {
+        co_return forward_result{
+            result_code::host_leaving, outcome::not_run, false, true, std::nullopt,
+            shortest_retry_after};
+    }
     auto& budget = w.budgets[request.service];
     note_request(budget, w.context.budgets, w.snapshot->hosts);
     const auto most =
