Issue some permits from the start of a host on

A host that had just started issued no permits for 8 s, so after a loss of all hosts targets with a limit got nothing for that long.

--- a/source/control/target_limits.cpp
+++ b/source/control/target_limits.cpp
@@ -66,15 +66,14 @@
     if (issuer_of_permits(state, request.target) != state.self.host) {
         return {request.number, false, other_issuer_pause};
     }
-    const auto settled_at =
-        std::max(state.started, state.membership.resumed) + issuer_settling_time;
-    if (e.now < settled_at) {
-        return {request.number, false, std::chrono::ceil<milliseconds>(settled_at - e.now)};
-    }
-    const auto share = share_of_region(state, request.target, request.limit);
+    auto share = share_of_region(state, request.target, request.limit);
     if (share.rate == 0) {
         return {request.number, false, no_share_pause};
     }
+    const auto running_since = std::max(state.started, state.membership.resumed);
+    if (e.now - running_since < issuer_settling_time) {
+        share = {share.rate * settling_rate, 1};
+    }
     auto& bucket = state.limits[request.target];
     if (bucket.life < request.life) {
         bucket = {request.life, 0, e.now};
--- a/source/control/target_limits.h
+++ b/source/control/target_limits.h
@@ -15,9 +15,10 @@
 /// A target that takes less, or nothing, is still sent requests at this rate, since only a response
 /// tells that its limit has changed.
 constexpr double lowest_limited_rate = 0.25;
-/// A host that has started or was suspended issues no permits for this long, until all hosts know
-/// that it lives and no other one still issues in its place.
+/// A host that has started or was suspended issues permits at a part of the rate for this long,
+/// until all hosts know that it lives and no other one still issues in its place.
 constexpr std::chrono::milliseconds issuer_settling_time{8'000};
+constexpr double settling_rate = 0.25;
 /// How soon a request may ask again if its region has no share of a limit.
 constexpr std::chrono::milliseconds no_share_pause{2'000};
 
