Obey targets that are leaving or want a pause

A target that leaves says so in its answers, whatever the store says or cannot say, and one that turns a request away with 503 may add for how long it wants nothing from this host. Such targets are not chosen; what fits nowhere else is refused at once with the end of the first pause. A value that is malformed, negative, given twice or on an answer of another request or target changes nothing and is logged. The log has target_statement and held_back, the metrics requests_held_back_total, and trace names the cause.

--- a/source/logging/event_schema.cpp
+++ b/source/logging/event_schema.cpp
@@ -17,10 +17,13 @@
      "left_ms mean_queue objective_ms predicted_wait_ms report_age_ms request service target "
      "work_ms",
      false, "No target was predicted to answer in time; the best candidate and its predictions."},
-    {"target_statement", "ignored life limit target", false,
-     "A target began or ceased to name a limit, or changed it (`limit` empty: none); `ignored` is "
-     "a "
-     "header whose value is malformed."},
+    {"held_back", "leaving limited paused request retry_after_ms service", false,
+     "A request was refused since targets are leaving, want a pause or have no permit to give; how "
+     "many of each."},
+    {"target_statement", "ignored leaving life limit pause_ms target", false,
+     "What a target states about itself changed: its limit (empty: none), that it is leaving, or "
+     "the "
+     "pause that it wants; `ignored` is a header whose value is malformed."},
     {"permit_denied", "life limit limit_age_ms request retry_after_ms service target", false,
      "A request was not sent to a target that has named a limit; another target is tried."},
     {"attempt_failed",
--- a/source/trace/request_cause.cpp
+++ b/source/trace/request_cause.cpp
@@ -23,7 +23,8 @@
         return field_of(line, "result") == result;
     }
     return (line.event == "placement_refused" && result == name_of(overloaded)) ||
-           (line.event == "permit_denied" && result == name_of(targets_limited));
+           ((line.event == "permit_denied" || line.event == "held_back") &&
+            result == name_of(targets_limited));
 }
 
 std::string text_of(std::string_view value)
@@ -129,6 +130,13 @@
     if (result == name_of(overloaded)) {
         return overload_text(a);
     }
+    if (a.event == "held_back") {
+        return "No target takes the request now: " + text_of(field_of(a, "paused")) +
+               " have asked for a pause, " + text_of(field_of(a, "limited")) +
+               " have reached the limit that they have named, and " +
+               text_of(field_of(a, "leaving")) + " are leaving; the next one was due in " +
+               milliseconds_text(field_of(a, "retry_after_ms")) + ".";
+    }
     if (result == name_of(targets_limited)) {
         return target + " takes " + text_of(field_of(a, "limit")) +
                " requests a second from all hosts together, and its next one was due in " +
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -381,19 +381,37 @@
     return std::chrono::seconds(seconds);
 }
 
+/// The value of a header that must occur once; empty if it occurs several times, nothing if it is
+/// absent.
+std::optional<std::string_view> single_value(const upstream_parser& parser, std::string_view name)
+{
+    const auto [first, last] = parser.get().equal_range(name);
+    if (name.empty() || first == last) {
+        return std::nullopt;
+    }
+    const auto text = first->value();
+    return std::next(first) == last ? std::string_view(text.data(), text.size())
+                                    : std::string_view();
+}
+
 /// What the target states about itself in this response.
 stated_values statements_in(const wire_profile& profile, const upstream_parser& parser)
 {
+    constexpr std::string_view pause_header = "Retry-After";
     stated_values values;
-    const auto& answer = parser.get();
-    const auto [first, last] = answer.equal_range(profile.limit_header);
-    if (profile.limit_header.empty() || first == last) {
-        return values;
+    if (const auto text = single_value(parser, profile.limit_header)) {
+        values.limit = parse_limit(*text);
+        values.malformed = values.limit ? values.malformed : profile.limit_header;
+    }
+    if (const auto text = single_value(parser, profile.leaving_header)) {
+        values.is_leaving = *text == "1";
+        values.malformed = values.is_leaving ? values.malformed : profile.leaving_header;
+    }
+    const bool is_refusal = parser.get().result() == beast::http::status::service_unavailable;
+    if (const auto text = single_value(parser, pause_header); text && is_refusal) {
+        values.pause = parse_pause(*text);
+        values.malformed = values.pause ? values.malformed : pause_header;
     }
-    const auto text = first->value();
-    values.limit = std::next(first) == last ? parse_limit({text.data(), text.size()})
-                                            : std::optional<double>{};
-    values.malformed = values.limit ? std::string_view{} : profile.limit_header;
     return values;
 }
 
--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -135,10 +135,13 @@
     const auto chosen =
         place_or_refuse(found->second.targets, w.loads, criteria, uniform(w.random), now);
     if (chosen.target == nullptr) {
-        refused.code = !chosen.any_usable                ? result_code::no_live_target
-                       : chosen.next_permit.count() != 0 ? result_code::targets_limited
-                                                         : result_code::no_free_slot;
-        refused.retry_after = std::max(chosen.next_permit, shortest_retry_after);
+        refused.code = !chosen.any_usable             ? result_code::no_live_target
+                       : chosen.next_due.count() != 0 ? result_code::targets_limited
+                                                      : result_code::no_free_slot;
+        refused.retry_after = std::max(chosen.next_due, shortest_retry_after);
+        if (chosen.limited + chosen.paused + chosen.leaving != 0) {
+            log_held_back(w, request, chosen);
+        }
         return std::nullopt;
     }
     if (chosen.is_refused) {
@@ -151,6 +154,15 @@
     return chosen_target{*chosen.target, chosen.limit};
 }
 
+/// Whether a target has stated that it is leaving or wants a pause.
+bool is_held_back(const worker& w, const target_route& t)
+{
+    const auto statements = w.context.statements->current();
+    const auto* statement = find_statement(*statements, t);
+    return statement != nullptr &&
+           (statement->is_leaving || clock::now() < statement->paused_until);
+}
+
 /// Waits for a permit to send one request to a target that has named a limit. Without an answer it
 /// counts as denied.
 asio::awaitable<permit_verdict_effect> request_permit(worker& w, const chosen_target& chosen)
@@ -191,8 +203,8 @@
                 refused = {result_code::caller_gone, outcome::not_run, false, false, {}};
                 co_return std::nullopt;
             }
-            if (!is_usable(*w.snapshot, request.service, t.id)) {
-                continue;
+            if (!is_usable(*w.snapshot, request.service, t.id) || is_held_back(w, t)) {
+                continue; // Withdrawn, paused or leaving since it was chosen.
             }
         }
         note_sent(w.loads[t.id], t, clock::now());
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -128,6 +128,13 @@
     return std::chrono::ceil<milliseconds>(load->no_permit_until - now);
 }
 
+milliseconds pause_left(const target_statement* statement, clock::time_point now)
+{
+    return statement == nullptr || now >= statement->paused_until
+               ? milliseconds{0}
+               : std::chrono::ceil<milliseconds>(statement->paused_until - now);
+}
+
 /// Also sets what `chosen` says of all targets together.
 std::vector<candidate> find_candidates(const std::vector<target_route>& targets,
                                        const load_table& loads, const placement_criteria& criteria,
@@ -139,15 +146,21 @@
         if (!t.usable || !is_home(criteria, t) || is_excluded(criteria, t)) {
             continue;
         }
+        const auto* statement = statement_of(criteria, t);
+        if (statement != nullptr && statement->is_leaving) {
+            ++chosen.leaving;
+            continue;
+        }
         chosen.any_usable = true;
         const auto* load = find_load(loads, t.id);
         if (!has_cold_capacity(t, load, now)) {
             continue;
         }
-        const auto* statement = statement_of(criteria, t);
-        if (const auto wait = time_to_permit(statement, load, now); wait.count() != 0) {
-            chosen.next_permit =
-                chosen.next_permit.count() == 0 ? wait : std::min(chosen.next_permit, wait);
+        const auto permit_wait = time_to_permit(statement, load, now);
+        const auto pause = pause_left(statement, now);
+        if (const auto wait = std::max(permit_wait, pause); wait.count() != 0) {
+            ++(pause.count() != 0 ? chosen.paused : chosen.limited);
+            chosen.next_due = chosen.next_due.count() == 0 ? wait : std::min(chosen.next_due, wait);
             continue;
         }
         candidate c;
--- a/source/traffic/placement.h
+++ b/source/traffic/placement.h
@@ -63,9 +63,12 @@
     bool any_usable = false; ///< a target is usable, though possibly at its limit for cold targets
     bool is_refused = false; ///< refused, since the response would most likely be too late
     std::optional<double> limit; ///< that the target has named; the request then needs a permit
-    /// If no target may be used: time until the first one that has named a limit takes a request; 0
-    /// if no limit is the reason.
-    std::chrono::milliseconds next_permit{0};
+    /// Targets that were left out because of what they state about themselves.
+    std::size_t limited = 0; ///< have named a limit, and no permit is due
+    std::size_t paused = 0;
+    std::size_t leaving = 0;
+    /// Time until the first one that is limited or paused takes a request; 0 if there is none.
+    std::chrono::milliseconds next_due{0};
 };
 
 /// Transferring a response larger than this between regions costs more than serving it from a cold
--- a/source/traffic/request_log.cpp
+++ b/source/traffic/request_log.cpp
@@ -124,13 +124,33 @@
         return;
     }
     const bool is_limited = changed && changed->limit;
+    const auto pause = changed ? std::max(changed->paused_until - clock::now(), clock::duration{})
+                               : clock::duration{};
     log::write(log::level::info, "target_statement",
                {{"target", target.value},
                 {"life", std::to_string(life.value)},
                 {"limit", is_limited ? std::to_string(*changed->limit) : ""},
+                {"leaving", changed && changed->is_leaving ? "yes" : "no"},
+                {"pause_ms", milliseconds_text(pause)},
                 {"ignored", std::string(malformed)}});
 }
 
+void log_held_back(worker& w, const caller_request& request, const placement& refused)
+{
+    const auto* reason = refused.paused != 0 ? "pause" : refused.limited != 0 ? "limit" : "leaving";
+    w.context.metrics->add({"requests_held_back_total", request.service, reason});
+    if (!take_line(w, line_kind::failure)) {
+        return;
+    }
+    log::write(log::level::info, "held_back",
+               {{"request", request.id},
+                {"service", request.service},
+                {"limited", std::to_string(refused.limited)},
+                {"paused", std::to_string(refused.paused)},
+                {"leaving", std::to_string(refused.leaving)},
+                {"retry_after_ms", std::to_string(refused.next_due.count())}});
+}
+
 void log_permit_denied(worker& w, const caller_request& request, const target_route& target,
                        double limit, std::chrono::milliseconds retry_after)
 {
--- a/source/traffic/request_log.h
+++ b/source/traffic/request_log.h
@@ -23,6 +23,9 @@
 void log_statement(worker& w, const target_id& target, incarnation life,
                    const std::optional<target_statement>& changed, std::string_view malformed);
 
+/// Logs that a request was refused because of what its targets state about themselves.
+void log_held_back(worker& w, const caller_request& request, const placement& refused);
+
 /// Logs that a request was not sent to a target that has named a limit.
 void log_permit_denied(worker& w, const caller_request& request, const target_route& target,
                        double limit, std::chrono::milliseconds retry_after);
--- a/source/traffic/target_statements.h
+++ b/source/traffic/target_statements.h
@@ -14,7 +14,10 @@
 
 /// What one response states.
 struct stated_values {
-    std::optional<double> limit;  ///< requests per second that the target takes from all hosts
+    std::optional<double> limit; ///< requests per second that the target takes from all hosts
+    bool is_leaving = false;
+    /// With a refusal: for how long the target wants no requests from this host.
+    std::optional<std::chrono::milliseconds> pause;
     std::string_view malformed{}; ///< a header whose value is ignored; empty if there is none
 };
 
@@ -22,6 +25,10 @@
     incarnation life;
     std::optional<double> limit;
     std::chrono::steady_clock::time_point limited_since{}; ///< when it named a limit first
+    bool is_leaving = false; ///< holds for the rest of the incarnation
+    std::chrono::steady_clock::time_point paused_until{};
+
+    bool operator==(const target_statement&) const = default;
 };
 
 struct statement_table : boost::intrusive_ref_counter<statement_table, boost::thread_safe_counter> {
@@ -33,6 +40,13 @@
 /// Limits above this are treated like it.
 constexpr double highest_limit = 1e6;
 
+/// Longer pauses are treated like it.
+constexpr std::chrono::hours longest_pause{24};
+
+/// Parses the value of a Retry-After header in seconds, with or without fractions. Nothing if it is
+/// negative or malformed; dates are not used between hosts and targets.
+std::optional<std::chrono::milliseconds> parse_pause(std::string_view text);
+
 /// Parses the value of a limit header, a decimal number. Nothing if it is negative or malformed.
 std::optional<double> parse_limit(std::string_view text);
 
--- a/source/traffic/wire_profile.h
+++ b/source/traffic/wire_profile.h
@@ -21,6 +21,7 @@
     std::string_view not_run_header{}; ///< on responses of targets that did not run the request
     std::string_view load_header{};    ///< a target's load report, "running,waiting,slots"
     std::string_view limit_header{};   ///< requests a second that a target takes from all hosts
+    std::string_view leaving_header{}; ///< "1" on the responses of a target that is leaving
     bool reports_outcome = false; ///< responses carry the outcome, the result code and the host
     bool claims_non_idempotent = true; ///< non-idempotent requests need a key and a claim
 
--- a/unit_tests/traffic/placement_test.cpp
+++ b/unit_tests/traffic/placement_test.cpp
@@ -33,7 +33,7 @@
                                     double limit)
 {
     boost::intrusive_ptr<statement_table> table(new statement_table);
-    table->targets[targets.at(limited).id] = {targets.at(limited).life, limit, {}};
+    table->targets[targets.at(limited).id] = {targets.at(limited).life, limit, {}, false, {}};
     return table;
 }
 
@@ -278,6 +278,8 @@
     CPPUNIT_TEST(full_queues_of_cold_work_drain);
     CPPUNIT_TEST(a_target_without_a_permit_hands_over_the_same_objects);
     CPPUNIT_TEST(what_fits_within_no_limit_is_refused_with_the_time_of_the_next_permit);
+    CPPUNIT_TEST(targets_that_leave_or_pause_get_nothing);
+    CPPUNIT_TEST(a_pause_of_all_targets_is_refused_with_its_end);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -521,13 +523,43 @@
         criteria.statements = limited.get();
         const auto refused = place(targets, loads, criteria, start + milliseconds(100));
         CPPUNIT_ASSERT(refused.target == nullptr && refused.any_usable);
-        CPPUNIT_ASSERT(refused.next_permit == milliseconds(600));
+        CPPUNIT_ASSERT(refused.next_due == milliseconds(600));
         CPPUNIT_ASSERT(place(targets, loads, criteria, start + milliseconds(700)).target !=
                        nullptr);
         criteria.statements = nullptr; // The limit was lifted.
         CPPUNIT_ASSERT(place(targets, loads, criteria, start + milliseconds(100)).target !=
                        nullptr);
     }
+
+    void targets_that_leave_or_pause_get_nothing()
+    {
+        const auto targets = make_targets(3);
+        boost::intrusive_ptr<statement_table> table(new statement_table);
+        // The first one also has a limit; leaving and a pause go before it.
+        table->targets[targets[0].id] = {incarnation{}, 5.0, {}, true, {}};
+        table->targets[targets[1].id] = {incarnation{}, 5.0, {}, false, start + seconds(3)};
+        for (std::uint64_t object = 0; object < 50; ++object) {
+            auto criteria = criteria_for(object);
+            criteria.statements = table.get();
+            CPPUNIT_ASSERT(place(targets, {}, criteria, start).target == &targets[2]);
+            const auto later = place(targets, {}, criteria, start + seconds(3)).target;
+            CPPUNIT_ASSERT(later == &targets[1] || later == &targets[2]);
+        }
+    }
+
+    void a_pause_of_all_targets_is_refused_with_its_end()
+    {
+        const auto targets = make_targets(2);
+        boost::intrusive_ptr<statement_table> table(new statement_table);
+        table->targets[targets[0].id] = {incarnation{}, {}, {}, false, start + seconds(3)};
+        table->targets[targets[1].id] = {incarnation{}, {}, {}, false, start + seconds(2)};
+        auto criteria = criteria_for(1);
+        criteria.statements = table.get();
+        const auto refused = place(targets, {}, criteria, start);
+        CPPUNIT_ASSERT(refused.target == nullptr && refused.any_usable);
+        CPPUNIT_ASSERT(refused.next_due == seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, refused.paused);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
--- a/unit_tests/traffic/target_statements_test.cpp
+++ b/unit_tests/traffic/target_statements_test.cpp
@@ -37,6 +37,9 @@
     CPPUNIT_TEST(a_limit_holds_until_a_later_response_lacks_it);
     CPPUNIT_TEST(a_malformed_header_changes_nothing);
     CPPUNIT_TEST(a_limit_belongs_to_one_incarnation);
+    CPPUNIT_TEST(pauses_are_seconds);
+    CPPUNIT_TEST(leaving_holds_until_the_next_incarnation);
+    CPPUNIT_TEST(the_longest_pause_holds);
     CPPUNIT_TEST(statements_of_unlisted_targets_are_kept_for_a_while);
     CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +115,43 @@
         board->apply(*snapshot, start + milliseconds(1));
         CPPUNIT_ASSERT(board->current()->targets.empty());
     }
+
+    void pauses_are_seconds()
+    {
+        CPPUNIT_ASSERT(parse_pause("1.5") == milliseconds(1'500));
+        CPPUNIT_ASSERT(parse_pause("0") == milliseconds(0));
+        CPPUNIT_ASSERT(parse_pause("1e9") == std::nullopt);
+        CPPUNIT_ASSERT(parse_pause("99999999999") == milliseconds(longest_pause));
+        for (const auto* text : {"", "-2", "soon", "Fri, 04 Dec 2026 23:37:00 GMT", "1;2"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parse_pause(text));
+        }
+    }
+
+    void leaving_holds_until_the_next_incarnation()
+    {
+        const auto board = statement_board::create();
+        stated_values leaving;
+        leaving.is_leaving = true;
+        CPPUNIT_ASSERT(board->note(target_name, incarnation(1), leaving, start, start));
+        const auto later = start + std::chrono::seconds(9);
+        CPPUNIT_ASSERT(!board->note(target_name, incarnation(1), {}, later, later));
+        CPPUNIT_ASSERT(board->current()->targets.at(target_name).is_leaving);
+        board->note(target_name, incarnation(2), with_limit(2), later, later);
+        CPPUNIT_ASSERT(!board->current()->targets.at(target_name).is_leaving);
+    }
+
+    void the_longest_pause_holds()
+    {
+        const auto board = statement_board::create();
+        stated_values refusal;
+        refusal.pause = milliseconds(3'000);
+        CPPUNIT_ASSERT(board->note(target_name, incarnation(1), refusal, start, start));
+        refusal.pause = milliseconds(500);
+        const auto later = start + milliseconds(100);
+        CPPUNIT_ASSERT(!board->note(target_name, incarnation(1), refusal, start, later));
+        const auto until = board->current()->targets.at(target_name).paused_until;
+        CPPUNIT_ASSERT(until == start + milliseconds(3'000));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(target_statements_test);
