--- a/source/config/fleet_parts.cpp
+++ b/source/config/fleet_parts.cpp
@@ -58,14 +58,14 @@
     return fingerprint;
 }
 
-void apply_change(fleet_parts& parts, parts_change change)
+void apply_change(fleet_parts& parts, const parts_change& change)
 {
     parts.fingerprint = fingerprint_after(parts, change);
     for (const auto& name : change.removed) {
         parts.texts.erase(name);
     }
-    for (auto& [name, text] : change.changed) {
-        parts.texts.insert_or_assign(name, std::move(text));
+    for (const auto& [name, text] : change.changed) {
+        parts.texts.insert_or_assign(name, text);
     }
 }
 
--- a/source/config/fleet_parts.h
+++ b/source/config/fleet_parts.h
@@ -42,7 +42,7 @@
 /// The fingerprint that `before` would have after the change.
 std::uint64_t fingerprint_after(const fleet_parts& before, const parts_change& change);
 
-void apply_change(fleet_parts& parts, parts_change change);
+void apply_change(fleet_parts& parts, const parts_change& change);
 
 /// The parts of `parts` that the change replaces or removes.
 part_texts replaced_texts(const fleet_parts& parts, const parts_change& change);
--- a/source/control/fleet_adoption.cpp
+++ b/source/control/fleet_adoption.cpp
@@ -76,7 +76,7 @@
           {"changed_by", changed_by}}});
 }
 
-/// Time since a peer was first known to have this generation in force; 0 if none was.
+/// Time since a peer was known to have this generation or a newer one in force; 0 if none was.
 std::chrono::milliseconds time_since_heard(const fleet_state& fleet, generation number,
                                            monotonic_time now)
 {
@@ -263,7 +263,7 @@
     f.envelope->number = change.number;
     const adopted_size size{bytes_of(change.parts.changed),
                             change.parts.changed.size() + change.parts.removed.size()};
-    apply_change(f.envelope->parts, std::move(change.parts));
+    apply_change(f.envelope->parts, change.parts);
     record_adoption(state, e, before, source, size, out);
     apply_inventory_to_fleet(state);
     return true;
--- a/unit_tests/soak/soak.sh
+++ b/unit_tests/soak/soak.sh
@@ -103,12 +103,20 @@
 }
 
 strike_target() { # number
-    if [ $((RANDOM % 2)) -eq 0 ]; then
+    local kind=$((RANDOM % 3))
+    if [ "$kind" -eq 0 ]; then
         log "kill target-$1"
         kill -KILL "$(pid_of "target-$1")"
         wait_ms $((300 + RANDOM % 1500))
         start_target "$1"
         wait_ms 100
+    elif [ "$kind" -eq 1 ]; then
+        local statements=("limit=$((1 + RANDOM % 5))" "leaving=1" "pause=$((1 + RANDOM % 3))" "limit=2&leaving=1" "limit=x")
+        pick statements
+        log "$picked at target-$1"
+        http_get "127.1.1.$1:9000" "/state?$picked" >/dev/null
+        wait_ms $((500 + RANDOM % 2500))
+        http_get "127.1.1.$1:9000" "/state?limit=-&leaving=-&pause=-" >/dev/null
     else
         log "drain target-$1"
         register "$1" draining
