--- a/review/lib.sh
+++ b/review/lib.sh
@@ -68,7 +68,7 @@
     {
         printf '[host]\nid = %s\nfailure_domain = %s\naddress = %s\n' "$name" "$zone" "$ip"
         printf 'callers = %s\nreadiness = %s\npeers = %s\n' "${front[$name]}" "${ready[$name]}" "${peers[$name]}"
-        printf 'weight = %s\nfailure_domains[] = north-a/north\n' "$weight"
+        printf 'weight = %s\nfailure_domains[] = north-a/north\nfailure_domains[] = north-b/north\n' "$weight"
         printf '[platform]\nstore = registry\naddress = %s\ntimeout_ms = 1000\n' "$store"
         printf '[peers]\nshared_secret = almondquay-entry-hosts\n'
         for seed in "$@"; do printf 'seeds[] = %s\n' "${peers[$seed]}"; done
--- a/review/stand_ins/client.cpp
+++ b/review/stand_ins/client.cpp
@@ -139,6 +139,27 @@
     return 0;
 }
 
+/// look_up RECORD SECONDS GAP_MS ZONE DIRECTORY...: keeps asking each directory for the hosts to
+/// use.
+int look_up(const arguments& a)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(std::stoul(a.at(1)));
+    const milliseconds gap(std::stoul(a.at(2)));
+    while (std::chrono::steady_clock::now() < end) {
+        for (std::size_t i = 4; i < a.size(); ++i) {
+            connection c(review::connect_to(review::parse_address(a[i])));
+            message m;
+            const bool got = send_all(c, "GET /-/resolve?name=a.example&zone=" + a.at(3) +
+                                             " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n") &&
+                             read_message(c, m, milliseconds(1'000));
+            review::record(a.at(0), "client learns from " + a[i] + " " +
+                                        (got ? m.word(1) + " " + m.body : "nothing"));
+        }
+        sleep_for(gap);
+    }
+    return 0;
+}
+
 /// Sends one request whose body has the form of a request. Its own header says that it has a body.
 void send_with_inner(const address& front, const std::string& file, const std::string& target,
                      const std::string& id, const std::string& inner_id, const std::string& more)
@@ -308,6 +329,9 @@
     if (verb == "load") {
         return load(a);
     }
+    if (verb == "look_up") {
+        return look_up(a);
+    }
     if (verb == "smuggle") {
         return smuggle(a);
     }
