--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The two hosts that read the store are killed at the same moment and start again, one after the other. Meanwhile a backend's entry
 # is removed. This happens twice.
+trouble=${TROUBLE:-1} # 0 leaves the disruption out
 . "$(dirname "$0")/../lib.sh"
 drain_ms=2000
 
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -2,13 +2,12 @@
 # file and the settings of deploy/entry-host.ini, and the stand-ins of review/bin, on loopback addresses.
 #
 # A script ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the disruption
-# is left out. What was sent, answered and run is written to record.txt beside the script.
+# is left out: each script reads TROUBLE into `trouble`. What was sent, answered and run is written to record.txt beside the script.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 daemon=$PWD/target/source/almondquayd/almondquayd
 bin=$PWD/review/bin
-trouble=${TROUBLE:-1}
 record=$here/record.txt
 work=$(mktemp -d)
 pids=()
--- a/review/more/denied.sh
+++ b/review/more/denied.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # While the store is down all hosts are killed and start again, and one of them gets SIGTERM before it knows a manifest.
+trouble=${TROUBLE:-1} # 0 leaves the disruption out
 . "$(dirname "$0")/../lib.sh"
 allowed=10
 
--- a/review/more/lost_domain.sh
+++ b/review/more/lost_domain.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # One of the two failure domains of a region loses all its entry hosts at once, for good.
+trouble=${TROUBLE:-1} # 0 leaves the disruption out
 . "$(dirname "$0")/../lib.sh"
 off_ms=6000 # contact_s + 3 s
 
