Notice deletions that happened while all store followers restarted

Cause: a list that was read completely got the revision of its latest remaining entry. A deletion leaves none, so the list without the target had the revision of the list with it, or a lower one, and the restarted followers' gossip confirmed the old list to all others.

Evidence: the new log events list_read and list_copied, on the code as it was: restarted follower "revision:9 entries:3", the others "revision:9 entries:4", then "revision:5 entries:2" after the second removal; no list_copied and no target_gone at the others.

Ruled out: a follower that had not read the store since the deletion (three entries); a takeover that was due but did not come (the lists counted as confirmed); lost announcements.

Change: a complete list has the store's revision at which it was read. Gossip and copies carry a digest of each list, so that hosts with the same content move on to that revision without copying, hosts with other content ask for the list, and another digest at the same revision is no confirmation. Changes that do not lead to the peer's digest are followed by a whole copy. Holds for targets, evacuations and hosts alike. The simulated store no longer gives an existing host entry a new revision when its host registers again, as the protocol answers 409 and changes nothing.

--- a/source/control/inventory_items.cpp
+++ b/source/control/inventory_items.cpp
@@ -75,6 +75,17 @@
     }
 }
 
+void update_content(control_state& state, inventory_kind kind, const inventory_item& item)
+{
+    auto& content = list_of(state.inventory, kind).content;
+    if (std::holds_alternative<deleted_entry>(item.entry) ||
+        std::holds_alternative<unreadable_entry>(item.entry)) {
+        erase_entry(content, item.name);
+    } else if (kind != inventory_kind::configuration) {
+        set_entry(content, item.name, item.revision);
+    }
+}
+
 /// Handles an entry that was deleted or can no longer be read.
 void handle_absent_entry(control_state& state, const event& e, inventory_kind kind,
                          const std::string& name, effects& out)
@@ -174,6 +185,7 @@
 void apply_item(control_state& state, const event& e, inventory_kind kind,
                 const inventory_item& item, effects& out)
 {
+    update_content(state, kind, item);
     if (const auto* bad = std::get_if<unreadable_entry>(&item.entry)) {
         report_unreadable_entry(state, e, kind, item, *bad, out);
         handle_absent_entry(state, e, kind, item.name, out);
@@ -210,8 +222,8 @@
     }
 }
 
-bool remove_unlisted(control_state& state, const event& e, inventory_kind kind,
-                     const std::set<std::string>& seen, effects& out)
+std::size_t remove_unlisted(control_state& state, const event& e, inventory_kind kind,
+                            const std::set<std::string>& seen, effects& out)
 {
     std::vector<std::string> gone;
     const auto collect = [&](const auto& known, const auto& name_in) {
@@ -231,7 +243,7 @@
     for (const auto& name : gone) {
         handle_absent_entry(state, e, kind, name, out);
     }
-    return !gone.empty();
+    return gone.size();
 }
 
 void remove_expired_targets(control_state& state, const event& e, effects& out)
--- a/source/control/inventory_items.h
+++ b/source/control/inventory_items.h
@@ -31,10 +31,10 @@
 void apply_removal(control_state& state, const event& e, inventory_kind kind,
                    const std::string& name, std::chrono::milliseconds grace_left, effects& out);
 
-/// Removes the entries that a complete list with the names `seen` no longer contains. Returns
-/// whether there were any.
-bool remove_unlisted(control_state& state, const event& e, inventory_kind kind,
-                     const std::set<std::string>& seen, effects& out);
+/// Removes the entries that a complete list with the names `seen` no longer contains. Returns how
+/// many there were.
+std::size_t remove_unlisted(control_state& state, const event& e, inventory_kind kind,
+                            const std::set<std::string>& seen, effects& out);
 
 /// Removes the targets that did not register again in time after an outage of the store.
 void remove_expired_targets(control_state& state, const event& e, effects& out);
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -164,6 +164,22 @@
     return std::chrono::milliseconds{0};
 }
 
+void report_list_read(control_state& state, const event& e, inventory_kind kind,
+                      store_revision before, std::size_t entries, std::size_t dropped, effects& out)
+{
+    const std::string list(name_of(kind));
+    decide(state, out, e.wall,
+           {"list_read",
+            "the store's list replaces this host's copy",
+            "The list of " + list + " was read from the store.",
+            {},
+            {{"list", list},
+             {"revision", std::to_string(list_of(state.inventory, kind).changed.value)},
+             {"revision_before", std::to_string(before.value)},
+             {"entries", std::to_string(entries)},
+             {"dropped", std::to_string(dropped)}}});
+}
+
 /// Applies a page of a list that is being read completely. The list's revision changes only with
 /// its last page: until then neither this host nor a peer may rely on the list.
 void apply_list_page(control_state& state, const event& e, const inventory_query& query,
@@ -184,24 +200,30 @@
         list.page_after = page.items.back().name;
         return;
     }
-    const bool has_dropped = remove_unlisted(state, e, query.kind, list.seen, out);
+    const auto entries = list.seen.size();
+    const auto dropped = remove_unlisted(state, e, query.kind, list.seen, out);
+    const auto before = list.changed;
+    retain_entries(list.content, list.seen);
     list.seen.clear();
     list.page_after.clear();
     list.is_complete = true;
+    list.needs_whole_copy = false;
     list.is_following = true;
     list.had_changes = true;
     list.at = list.read_at;
     list.confirmed = list.queried_at;
-    // A complete list does not contain the revisions of deletions, and changes made after its first
-    // page was read are not known yet.
-    const auto changed = has_dropped ? list.at : std::min(list.read_changed, list.at);
+    // Deletions leave no revision in a complete list, so that only the revision at which it was
+    // read is known to include them. Changes made after its first page was read are not known yet.
+    const bool is_configuration = query.kind == inventory_kind::configuration;
+    const auto changed = is_configuration ? std::min(list.read_changed, list.at) : list.at;
     if (changed > list.changed) {
         list.changed = changed;
-        if (query.kind != inventory_kind::configuration) { // Its changes are recorded by part.
+        if (!is_configuration) { // Its changes are recorded by part.
             record_list_replacement(state.inventory, query.kind, list.changed);
         }
     }
     list.changed = std::max(list.changed, empty_list_revision);
+    report_list_read(state, e, query.kind, before, entries, dropped, out);
     announce(state, out); // Peers may have missed the same changes without noticing.
     state.inventory.repeats_announcement = true;
 }
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -319,6 +319,7 @@
         message.fingerprint = state.fleet.fingerprint;
     }
     message.inventory = revisions_of(state.inventory);
+    message.digests = digests_of(state.inventory);
     message.confirmed = confirmation_ages(state, state.now);
     // With an inventory, callers are sent to hosts as soon as these are alive, so a host that does
     // not serve yet announces that. Without one, a host counts as live from its first heartbeat,
--- a/source/control/peer_inventory.cpp
+++ b/source/control/peer_inventory.cpp
@@ -42,6 +42,13 @@
     copy.targets.push_back(std::move(entry));
 }
 
+void add_revision(const control_state& state, inventory_kind kind, const std::string& name,
+                  inventory_copy& copy)
+{
+    copy.revisions.at(static_cast<std::size_t>(kind))
+        .emplace(name, revision_of(list_of(state.inventory, kind).content, name));
+}
+
 /// Adds the current state of one entry.
 void add_entry(const control_state& state, inventory_kind kind, const std::string& name,
                monotonic_time now, inventory_copy& copy)
@@ -50,15 +57,21 @@
     if (kind == inventory_kind::targets) {
         if (const auto t = inventory.targets.find(target_id(name)); t != inventory.targets.end()) {
             add_target(state, t->second, now, copy);
+            add_revision(state, kind, name, copy);
             return;
         }
     } else if (kind == inventory_kind::hosts) {
-        if (const auto h = inventory.hosts.find(host_id(name)); h != inventory.hosts.end()) {
+        const auto h = inventory.hosts.find(host_id(name));
+        // A host also knows itself if it is not listed.
+        const bool is_listed = list_of(inventory, kind).content.entries.contains(name);
+        if (h != inventory.hosts.end() && is_listed) {
             copy.hosts.push_back(h->second);
+            add_revision(state, kind, name, copy);
             return;
         }
     } else if (inventory.evacuated.contains(failure_domain_id(name))) {
         copy.evacuated.emplace_back(name);
+        add_revision(state, kind, name, copy);
         return;
     }
     copy.removed.push_back({kind, name, milliseconds{0}});
@@ -83,6 +96,16 @@
     return names;
 }
 
+bool are_same(list_digest a, list_digest b)
+{
+    return a.value != 0 && a == b;
+}
+
+bool differ(list_digest a, list_digest b)
+{
+    return a.value != 0 && b.value != 0 && a != b;
+}
+
 /// Whether a copy of a list is newer than the local one and has no gap of changes before it.
 bool is_applicable(const inventory_list& list, const inventory_copy& copy, std::size_t i)
 {
@@ -133,8 +156,60 @@
     return names;
 }
 
+/// Applies what a copy tells about the content of a list.
+void apply_content(inventory_list& list, inventory_kind kind, const inventory_copy& copy,
+                   const std::set<std::string>& names)
+{
+    const auto i = static_cast<std::size_t>(kind);
+    const bool is_whole = copy.since.at(i).value == 0;
+    if (is_whole) {
+        list.content = {};
+    }
+    for (const auto& name : names) {
+        const auto& revisions = copy.revisions.at(i);
+        const auto found = revisions.find(name);
+        set_entry(list.content, name, found == revisions.end() ? store_revision{} : found->second);
+    }
+    for (const auto& entry : copy.removed) {
+        if (entry.kind == kind) {
+            erase_entry(list.content, entry.name);
+        }
+    }
+}
+
+void report_copy_mismatch(control_state& state, const event& e, inventory_kind kind,
+                          const std::string& peer, effects& out)
+{
+    const std::string list(name_of(kind));
+    decide(state, out, e.wall,
+           {"copy_mismatch",
+            "a list that differs from the peer's after its changes is copied as a whole",
+            "Changes of the list of " + list + " from another host are not complete.",
+            {},
+            {{"list", list},
+             {"revision", std::to_string(list_of(state.inventory, kind).changed.value)},
+             {"peer", peer}}});
+}
+
+void report_list_copied(control_state& state, const event& e, inventory_kind kind,
+                        store_revision before, std::size_t entries, const std::string& peer,
+                        effects& out)
+{
+    const std::string list(name_of(kind));
+    decide(state, out, e.wall,
+           {"list_copied",
+            "a newer list of another host replaces this host's copy",
+            "The list of " + list + " was copied from another host.",
+            {},
+            {{"list", list},
+             {"revision", std::to_string(list_of(state.inventory, kind).changed.value)},
+             {"revision_before", std::to_string(before.value)},
+             {"entries", std::to_string(entries)},
+             {"peer", peer}}});
+}
+
 void apply_list(control_state& state, const event& e, inventory_kind kind,
-                const inventory_copy& copy, effects& out)
+                const inventory_copy& copy, const std::string& peer, effects& out)
 {
     const auto i = static_cast<std::size_t>(kind);
     const bool is_whole = copy.since.at(i).value == 0;
@@ -148,6 +223,15 @@
         }
     }
     auto& list = state.inventory.lists.at(i);
+    const auto before = list.changed;
+    apply_content(list, kind, copy, names);
+    // The peer does not know all changes if some were made between two of its complete reads, such
+    // as the creation and the deletion of the same entry.
+    list.needs_whole_copy = !is_whole && differ(digest_of(list.content), copy.digests.at(i));
+    if (list.needs_whole_copy) {
+        report_copy_mismatch(state, e, kind, peer, out);
+        return;
+    }
     list.at = copy.at.at(i);
     list.changed = list.at;
     list.is_complete = true;
@@ -157,6 +241,7 @@
         list.page_after.clear();
         list.seen.clear();
         record_list_replacement(state.inventory, kind, list.at);
+        report_list_copied(state, e, kind, before, names.size(), peer, out);
     } else {
         for (const auto& entry : copy.removed) {
             if (entry.kind == kind) {
@@ -171,9 +256,27 @@
     list.next_call = e.now + (list.failures == 0 ? milliseconds{0} : copy_request_interval);
 }
 
-bool is_behind(const inventory_list& list, store_revision theirs)
+bool is_behind(const inventory_list& list, store_revision theirs, list_digest digest)
 {
-    return theirs.value != 0 && (!list.is_complete || theirs > list.at);
+    if (theirs.value == 0 || !list.is_complete) {
+        return theirs.value != 0;
+    }
+    return theirs > list.at && !are_same(digest_of(list.content), digest);
+}
+
+/// A list with the same content as the peer's is also current at the peer's revision.
+void adopt_revision(inventory_list& list, store_revision theirs, list_digest digest)
+{
+    if (list.is_complete && theirs > list.changed && are_same(digest_of(list.content), digest)) {
+        list.changed = theirs;
+        list.at = std::max(list.at, theirs);
+    }
+}
+
+/// Whether the peer's confirmation also applies to the local list, which must not be behind.
+bool shares_confirmation(const inventory_list& list, store_revision theirs, list_digest digest)
+{
+    return theirs.value != 0 && (theirs < list.changed || !differ(digest_of(list.content), digest));
 }
 
 /// The generation in force for requests of copies.
@@ -203,7 +306,8 @@
     inventory_revisions have{};
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         const auto& list = inventory.lists.at(i);
-        const auto known = list.is_complete ? list.at : store_revision{};
+        const bool is_base = list.is_complete && !list.needs_whole_copy;
+        const auto known = is_base ? list.at : store_revision{};
         have.at(i) = with_lists ? known : max_revision;
     }
     have.at(static_cast<std::size_t>(inventory_kind::configuration)) =
@@ -269,6 +373,17 @@
     return all;
 }
 
+inventory_digests digests_of(const inventory_state& inventory)
+{
+    inventory_digests all{};
+    for (const auto kind : lists_from_peers) {
+        const auto& list = list_of(inventory, kind);
+        all.at(static_cast<std::size_t>(kind)) =
+            list.is_complete ? digest_of(list.content) : list_digest{};
+    }
+    return all;
+}
+
 inventory_ages confirmation_ages(const control_state& state, monotonic_time now)
 {
     inventory_ages ages;
@@ -299,6 +414,7 @@
         const bool as_changes =
             have.at(i).value != 0 && has_all_changes(inventory, kind, have.at(i));
         copy.since.at(i) = as_changes ? have.at(i) : store_revision{};
+        copy.digests.at(i) = digest_of(inventory.lists.at(i).content);
         const auto names =
             as_changes ? changed_names(inventory, kind, have.at(i)) : all_names(inventory, kind);
         for (const auto& name : names) {
@@ -338,7 +454,7 @@
         const bool is_wanted = kind != inventory_kind::configuration &&
                                is_applicable(state.inventory.lists.at(i), copy, i);
         if (is_wanted) {
-            apply_list(state, e, kind, copy, out);
+            apply_list(state, e, kind, copy, peer, out);
         }
     }
     start_serving_if_ready(state, e, out);
@@ -410,20 +526,25 @@
     bool lacks_lists = false;
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         auto& list = inventory.lists.at(i);
+        const auto theirs = message.inventory.at(i);
+        const auto digest = message.digests.at(i);
         const bool is_configuration =
             static_cast<inventory_kind>(i) == inventory_kind::configuration;
         const bool lacks_text = message.in_force > generation_in_force(state);
-        const bool behind =
-            is_configuration ? lacks_text : is_behind(list, message.inventory.at(i));
-        const bool is_confirmed =
-            message.confirmed.at(i) < never_confirmed &&
-            (is_configuration ? message.in_force.value != 0 : message.inventory.at(i).value != 0);
+        const bool lacks_changes = is_behind(list, theirs, digest);
+        const bool behind = is_configuration ? lacks_text : lacks_changes;
+        const bool is_confirmed = message.confirmed.at(i) < never_confirmed &&
+                                  (is_configuration ? message.in_force.value != 0
+                                                    : shares_confirmation(list, theirs, digest));
         if (!behind && is_confirmed) {
             list.confirmed = std::max(list.confirmed, e.now - message.confirmed.at(i));
         }
-        if (is_behind(list, message.inventory.at(i)) && list.behind_since == monotonic_time{}) {
+        if (lacks_changes && list.behind_since == monotonic_time{}) {
             list.behind_since = e.now;
         }
+        if (!is_configuration) {
+            adopt_revision(list, theirs, digest);
+        }
         const bool can_read =
             follows(state) && list.failures == 0 &&
             (list.is_complete ? state.fleet.platform_reachable : list.call_running);
--- a/source/control/peer_inventory.h
+++ b/source/control/peer_inventory.h
@@ -19,6 +19,9 @@
 /// The revision of each list on this host; 0 for a list that is not complete.
 inventory_revisions revisions_of(const inventory_state& inventory);
 
+/// The digest of each list on this host; not known for a list that is not complete.
+inventory_digests digests_of(const inventory_state& inventory);
+
 /// The time since each list was last confirmed; `never_confirmed` if it never was.
 inventory_ages confirmation_ages(const control_state& state, monotonic_time now);
 
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -5,6 +5,7 @@
 #include "config/fleet.h"
 #include "config/fleet_envelope.h"
 #include "config/process_settings.h"
+#include "control/list_content.h"
 #include "peer/crash_evidence.h"
 #include "peer/inventory_copy.h"
 #include "steering/block_table.h"
@@ -108,15 +109,17 @@
 
 /// Synchronisation state of one list of the inventory.
 struct inventory_list {
-    store_revision at;           ///< changes up to this revision have been read
-    store_revision changed;      ///< store revision of the latest change in the list
-    monotonic_time confirmed{};  ///< when the current list was last known to be complete
-    monotonic_time queried_at{}; ///< when changes or the first page of the list were queried
-    store_revision read_at;      ///< store revision of the first page of the list being read
-    store_revision read_changed; ///< store revision of the latest change on the pages read so far
-    bool is_complete = false;    ///< read completely from the store or copied from a peer
-    bool had_changes = false;    ///< the last answer contained changes
-    bool is_following = false;   ///< polls for changes instead of reading the whole list
+    store_revision at;             ///< changes up to this revision have been read
+    store_revision changed;        ///< store revision of the latest change in the list
+    monotonic_time confirmed{};    ///< when the current list was last known to be complete
+    monotonic_time queried_at{};   ///< when changes or the first page of the list were queried
+    store_revision read_at;        ///< store revision of the first page of the list being read
+    store_revision read_changed;   ///< store revision of the latest change on the pages read so far
+    list_content content;          ///< not kept for the configuration
+    bool needs_whole_copy = false; ///< changes from a peer did not lead to the peer's content
+    bool is_complete = false;      ///< read completely from the store or copied from a peer
+    bool had_changes = false;      ///< the last answer contained changes
+    bool is_following = false;     ///< polls for changes instead of reading the whole list
     bool call_running = false;
     std::uint64_t call = 0; ///< sequence number of the latest query
     unsigned failures = 0;  ///< consecutive
--- a/source/logging/event_schema.cpp
+++ b/source/logging/event_schema.cpp
@@ -62,6 +62,13 @@
      "A query to another host for its copy of the store's lists (level debug)."},
     {"host_not_removed", "host why", false,
      "The entry of a host that has been dead for long could not be removed from the store."},
+    {"list_read", "dropped entries list revision revision_before", true,
+     "A list of the store was read completely; how many known entries it no longer contains."},
+    {"list_copied", "entries list peer revision revision_before", true,
+     "A whole list was copied from another host."},
+    {"copy_mismatch", "list peer revision", true,
+     "Changes of a list from another host did not lead to its content; the whole list is "
+     "requested."},
     {"ignore_entry", "why", true, "A malformed entry of the store is ignored."},
     {"restore_platform", "in_force", true,
      "The store's configuration is older than the active one, which is written back to it."},
--- a/source/peer/gossip_message.cpp
+++ b/source/peer/gossip_message.cpp
@@ -108,13 +108,17 @@
     for (const auto& id : message.unreachable) {
         unreachable.push_back(id.value);
     }
+    json digests = json::array();
+    for (const auto& digest : message.digests) {
+        digests.push_back(digest.value);
+    }
     const json whole = json::array(
         {message.from.value, message.time.wall_ms, message.time.counter, message.in_force.value,
          message.fingerprint, encode_heartbeats(message.heartbeats), std::move(inventory),
          std::move(confirmed), message.wants_reply, encode_heartbeats(message.suspects),
          message.reply_address.address, message.reply_address.port, message.recent_changes,
          std::move(unreachable), encode_requests(message.permit_requests),
-         encode_replies(message.permit_replies)});
+         encode_replies(message.permit_replies), std::move(digests)});
     const auto bytes = json::to_cbor(whole);
     std::string body(bytes.begin(), bytes.end());
     return sign(secret, body) + body;
@@ -154,7 +158,11 @@
             message.permit_requests = decode_requests(whole.at(permits_index));
             message.permit_replies = decode_replies(whole.at(permits_index + 1));
         }
+        constexpr std::size_t digests_index = 16; // Likewise.
         for (std::size_t i = 0; i < inventory_kinds; ++i) {
+            if (whole.size() > digests_index) {
+                message.digests.at(i).value = whole.at(digests_index).at(i).get<std::uint64_t>();
+            }
             message.inventory.at(i).value = whole.at(6).at(i).get<std::uint64_t>();
             const std::chrono::milliseconds age(whole.at(7).at(i).get<std::int64_t>());
             message.confirmed.at(i) =
--- a/source/peer/gossip_message.h
+++ b/source/peer/gossip_message.h
@@ -64,6 +64,7 @@
     std::vector<target_id> unreachable{}; ///< targets that refused the sender's connections
     std::vector<permit_request> permit_requests{};
     std::vector<permit_reply> permit_replies{};
+    inventory_digests digests{}; ///< of the sender's copies of the store's lists
 
     bool operator==(const gossip_message&) const = default;
 };
--- a/source/peer/inventory_copy.cpp
+++ b/source/peer/inventory_copy.cpp
@@ -30,13 +30,27 @@
     return names.at(place.get<std::size_t>()).get<std::string>();
 }
 
-json encode_target(const registered_target& t, name_table& names)
+store_revision revision_in(const inventory_copy& copy, inventory_kind kind, const std::string& name)
 {
-    return json::array({t.definition.id.value, names.index_of_name(t.definition.serves.value),
-                        names.index_of_name(t.definition.domain.value),
-                        t.definition.address.address, t.definition.address.port,
-                        t.definition.slots.value, t.definition.checks_identity,
-                        t.definition.life.value, t.definition.leaving, t.cold_left.count()});
+    const auto& known = copy.revisions.at(static_cast<std::size_t>(kind));
+    const auto found = known.find(name);
+    return found == known.end() ? store_revision{} : found->second;
+}
+
+void read_revision(inventory_copy& copy, inventory_kind kind, const std::string& name,
+                   const json& revision)
+{
+    copy.revisions.at(static_cast<std::size_t>(kind))
+        .insert_or_assign(name, store_revision(revision.get<std::uint64_t>()));
+}
+
+json encode_target(const registered_target& t, store_revision revision, name_table& names)
+{
+    return json::array(
+        {t.definition.id.value, names.index_of_name(t.definition.serves.value),
+         names.index_of_name(t.definition.domain.value), t.definition.address.address,
+         t.definition.address.port, t.definition.slots.value, t.definition.checks_identity,
+         t.definition.life.value, t.definition.leaving, t.cold_left.count(), revision.value});
 }
 
 registered_target decode_target(const json& row, const json& names)
@@ -55,10 +69,10 @@
     return t;
 }
 
-json encode_host(const host& h, name_table& names)
+json encode_host(const host& h, store_revision revision, name_table& names)
 {
     return json::array({h.id.value, names.index_of_name(h.domain.value), h.callers.address,
-                        h.callers.port, h.peers.address, h.peers.port, h.weight});
+                        h.callers.port, h.peers.address, h.peers.port, h.weight, revision.value});
 }
 
 host decode_host(const json& row, const json& names)
@@ -104,15 +118,36 @@
     copy.at = to_revisions(whole.at("at"));
     copy.since = to_revisions(whole.at("since"));
     const auto& names = whole.at("names");
+    constexpr std::size_t target_revision_index = 10; // Optional, like the other revisions.
     for (const auto& row : whole.at("targets")) {
         copy.targets.push_back(decode_target(row, names));
+        if (row.size() > target_revision_index) {
+            read_revision(copy, inventory_kind::targets, copy.targets.back().definition.id.value,
+                          row.at(target_revision_index));
+        }
     }
+    constexpr std::size_t host_revision_index = 7;
     for (const auto& row : whole.at("hosts")) {
         copy.hosts.push_back(decode_host(row, names));
+        if (row.size() > host_revision_index) {
+            read_revision(copy, inventory_kind::hosts, copy.hosts.back().id.value,
+                          row.at(host_revision_index));
+        }
     }
     for (const auto& domain : whole.at("evacuated")) {
         copy.evacuated.emplace_back(domain.get<std::string>());
     }
+    if (const auto found = whole.find("evacuation_revisions"); found != whole.end()) {
+        for (std::size_t i = 0; i < copy.evacuated.size(); ++i) {
+            read_revision(copy, inventory_kind::evacuations, copy.evacuated.at(i).value,
+                          found->at(i));
+        }
+    }
+    if (const auto found = whole.find("digests"); found != whole.end()) {
+        for (std::size_t i = 0; i < inventory_kinds; ++i) {
+            copy.digests.at(i).value = found->at(i).get<std::uint64_t>();
+        }
+    }
     for (const auto& row : whole.at("gone")) {
         copy.removed.push_back(decode_removed(row));
     }
@@ -129,25 +164,39 @@
     name_table names;
     json targets = json::array();
     for (const auto& t : copy.targets) {
-        targets.push_back(encode_target(t, names));
+        const auto revision = revision_in(copy, inventory_kind::targets, t.definition.id.value);
+        targets.push_back(encode_target(t, revision, names));
     }
     json hosts = json::array();
     for (const auto& h : copy.hosts) {
-        hosts.push_back(encode_host(h, names));
+        hosts.push_back(
+            encode_host(h, revision_in(copy, inventory_kind::hosts, h.id.value), names));
     }
     json evacuated = json::array();
+    json evacuation_revisions = json::array();
     for (const auto& domain : copy.evacuated) {
         evacuated.push_back(domain.value);
+        evacuation_revisions.push_back(
+            revision_in(copy, inventory_kind::evacuations, domain.value).value);
+    }
+    json digests = json::array();
+    for (const auto& digest : copy.digests) {
+        digests.push_back(digest.value);
     }
     json removed = json::array();
     for (const auto& entry : copy.removed) {
         removed.push_back(json::array(
             {static_cast<std::size_t>(entry.kind), entry.name, entry.grace_left.count()}));
     }
-    json whole{{"at", to_json(copy.at)},          {"since", to_json(copy.since)},
-               {"names", std::move(names.names)}, {"targets", std::move(targets)},
-               {"hosts", std::move(hosts)},       {"evacuated", std::move(evacuated)},
-               {"gone", std::move(removed)}};
+    json whole{{"at", to_json(copy.at)},
+               {"since", to_json(copy.since)},
+               {"names", std::move(names.names)},
+               {"targets", std::move(targets)},
+               {"hosts", std::move(hosts)},
+               {"evacuated", std::move(evacuated)},
+               {"gone", std::move(removed)},
+               {"digests", std::move(digests)},
+               {"evacuation_revisions", std::move(evacuation_revisions)}};
     if (copy.configuration) {
         whole["configuration"] = *copy.configuration;
     }
--- a/source/peer/inventory_copy.h
+++ b/source/peer/inventory_copy.h
@@ -30,6 +30,9 @@
     std::vector<host> hosts;
     std::vector<failure_domain_id> evacuated;
     std::vector<removed_entry> removed;
+    /// For each list, the revisions of the entries above. Earlier versions do not send them.
+    std::array<entry_revisions, inventory_kinds> revisions{};
+    inventory_digests digests{}; ///< of the peer's whole lists; not known from earlier versions
     /// An encoded fleet_change, empty if the peer's configuration is not newer. Nothing if the peer
     /// does not send configurations in this way.
     std::optional<std::string> configuration{};
--- a/source/store/inventory.h
+++ b/source/store/inventory.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +24,13 @@
 /// For each kind, the revision of the local copy of its list; 0 if there is none.
 using inventory_revisions = std::array<store_revision, inventory_kinds>;
 
+/// The revision of the last change of each entry of a list, by name.
+using entry_revisions = std::map<std::string, store_revision>;
+
+/// Identifies the content of a list: the names of its entries and their revisions. 0: not known.
+using list_digest = strong_type<struct list_digest_tag, std::uint64_t>;
+using inventory_digests = std::array<list_digest, inventory_kinds>;
+
 /// For each kind, the time since the local copy of its list was last known to be complete.
 using inventory_ages = std::array<std::chrono::milliseconds, inventory_kinds>;
 /// The maximum age; also the age of a copy that was never known to be complete.
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -103,6 +103,12 @@
     return {t.definition.id.value, t};
 }
 
+/// A target that was last changed at this revision.
+inventory_item item_of(const std::string& name, std::uint64_t revision)
+{
+    return {name, target_of(name), store_revision(revision)};
+}
+
 inventory_item configuration_of(std::uint64_t number)
 {
     return {"main", envelope_of(number, "s")};
@@ -218,18 +224,36 @@
     return names;
 }
 
-/// The generation that a request for a copy says the host has.
-store_revision requested_generation(const effects& emitted)
+/// The revision of a list that a request for a copy says the host has.
+store_revision requested_revision(const effects& emitted, inventory_kind kind)
 {
     for (const auto& e : emitted) {
         if (const auto* request = std::get_if<fetch_inventory_effect>(&e)) {
-            return request->have.at(static_cast<std::size_t>(inventory_kind::configuration));
+            return request->have.at(static_cast<std::size_t>(kind));
         }
     }
     CPPUNIT_FAIL("no copy was requested");
     return {};
 }
 
+/// The generation that a request for a copy says the host has.
+store_revision requested_generation(const effects& emitted)
+{
+    return requested_revision(emitted, inventory_kind::configuration);
+}
+
+/// Gossip of another host whose list of targets is that of `sender`, at this revision.
+gossip_message message_about_targets(const control_state& sender, std::uint64_t revision)
+{
+    const auto kind = static_cast<std::size_t>(inventory_kind::targets);
+    gossip_message message;
+    message.from = make_host(3).id;
+    message.inventory.at(kind) = store_revision(revision);
+    message.digests.at(kind) = digests_of(sender.inventory).at(kind);
+    message.confirmed.at(kind) = milliseconds(0);
+    return message;
+}
+
 } // namespace
 
 class inventory_test : public CppUnit::TestFixture {
@@ -248,6 +272,10 @@
     CPPUNIT_TEST(a_query_lost_in_an_outage_ends_soon_after_it);
     CPPUNIT_TEST(answers_without_changes_do_not_advance_the_revision);
     CPPUNIT_TEST(the_same_change_read_later_gives_the_same_revision);
+    CPPUNIT_TEST(a_complete_list_is_newer_than_its_remaining_entries);
+    CPPUNIT_TEST(a_list_with_the_same_content_is_not_requested);
+    CPPUNIT_TEST(a_list_that_differs_at_the_same_revision_is_not_confirmed);
+    CPPUNIT_TEST(changes_that_lead_elsewhere_are_replaced_by_a_whole_list);
     CPPUNIT_TEST(a_host_starts_from_its_peers_while_the_store_is_away);
     CPPUNIT_TEST(an_older_copy_of_a_peer_changes_nothing);
     CPPUNIT_TEST(hosts_that_are_not_listed_yet_are_asked_for_the_list);
@@ -496,6 +524,80 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, revisions_of(late.inventory).at(kind).value);
     }
 
+    /// Guards against a list that was read after a deletion but had the revision of a list read
+    /// before it.
+    void a_complete_list_is_newer_than_its_remaining_entries()
+    {
+        const auto kind = static_cast<std::size_t>(inventory_kind::targets);
+        const auto before = serving_state({item_of("t", 5), item_of("u", 6)});
+        auto after = make_state(2);
+        reduce(after, at(milliseconds(1), tick_event{}));
+        answer(after, milliseconds(2), inventory_kind::targets, {item_of("u", 6)}, 11);
+        CPPUNIT_ASSERT(revisions_of(after.inventory).at(kind) >
+                       revisions_of(before.inventory).at(kind));
+        CPPUNIT_ASSERT(digests_of(after.inventory).at(kind) !=
+                       digests_of(before.inventory).at(kind));
+    }
+
+    void a_list_with_the_same_content_is_not_requested()
+    {
+        const auto kind = static_cast<std::size_t>(inventory_kind::targets);
+        const auto reader = serving_state({item_of("t", 5)});
+        auto state = serving_state({item_of("t", 5)}, 2);
+        state.inventory.own_rank = followers_per_region; // Not a follower.
+        auto message = message_about_targets(reader, 30);
+        const auto emitted = reduce(state, at(seconds(2), gossip_event{message}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count<fetch_inventory_effect>(emitted));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{30}, revisions_of(state.inventory).at(kind).value);
+        message.digests.at(kind) = list_digest(message.digests.at(kind).value + 1);
+        message.inventory.at(kind) = store_revision(31);
+        const auto next = reduce(state, at(seconds(3), gossip_event{message}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<fetch_inventory_effect>(next));
+    }
+
+    void a_list_that_differs_at_the_same_revision_is_not_confirmed()
+    {
+        const auto kind = static_cast<std::size_t>(inventory_kind::targets);
+        const auto reader = serving_state({item_of("t", 5)});
+        auto state = serving_state({item_of("t", 5), item_of("u", 6)}, 2);
+        const auto confirmed = state.inventory.lists.at(kind).confirmed;
+        auto message = message_about_targets(reader, 10);
+        reduce(state, at(seconds(2), gossip_event{message}));
+        CPPUNIT_ASSERT(state.inventory.lists.at(kind).confirmed == confirmed);
+        message.digests = digests_of(state.inventory);
+        reduce(state, at(seconds(2), gossip_event{message}));
+        CPPUNIT_ASSERT(state.inventory.lists.at(kind).confirmed > confirmed);
+    }
+
+    /// A peer cannot tell of an entry that was created and deleted between two of its complete
+    /// reads, which another host may have seen.
+    void changes_that_lead_elsewhere_are_replaced_by_a_whole_list()
+    {
+        const auto kind = static_cast<std::size_t>(inventory_kind::targets);
+        const auto without_it = [](std::uint64_t revision) {
+            auto peer = serving_state({item_of("t", 5)}, 2);
+            reduce(peer, at(seconds(1), gossip_event{message_about_targets(peer, revision)}));
+            return peer;
+        };
+        auto state = serving_state({item_of("t", 5)});
+        answer(state, milliseconds(500), inventory_kind::targets, {item_of("brief", 12)}, 12);
+        state.inventory.own_rank = followers_per_region; // Not a follower.
+        auto peer = without_it(20);
+        answer(peer, milliseconds(1'500), inventory_kind::targets, {item_of("u", 25)}, 25);
+        inventory_revisions have;
+        have.fill(store_revision(12));
+        const auto changes = copy_of(peer, have, monotonic_time(seconds(2)));
+        const auto emitted = reduce(state, at(seconds(2), peer_inventory_event{"peer", changes}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions_of(emitted, "copy_mismatch"));
+        auto message = message_about_targets(peer, 25);
+        const auto next = reduce(state, at(seconds(3), gossip_event{message}));
+        CPPUNIT_ASSERT(requested_revision(next, inventory_kind::targets) == store_revision{});
+        const auto whole = copy_of(peer, {}, monotonic_time(seconds(3)));
+        reduce(state, at(seconds(3), peer_inventory_event{"peer", whole}));
+        CPPUNIT_ASSERT(!knows(state, "brief") && knows(state, "u"));
+        CPPUNIT_ASSERT(digests_of(state.inventory).at(kind) == digests_of(peer.inventory).at(kind));
+    }
+
     void a_host_starts_from_its_peers_while_the_store_is_away()
     {
         auto state = make_state();
--- a/unit_tests/control/store_followers_test.cpp
+++ b/unit_tests/control/store_followers_test.cpp
@@ -69,6 +69,25 @@
     CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), is_up_to_date(world, 2, "new", "old"));
 }
 
+/// Kills all followers of the store, deletes an entry
+/// and starts them again one after the other.
+void restart_store_readers(store_world& world, const std::function<void()>& delete_entry)
+{
+    constexpr milliseconds down{200};
+    constexpr milliseconds between_starts{250};
+    const auto killed = world.followers();
+    for (const auto& id : killed) {
+        world.set_fault(id, host_fault::dead);
+    }
+    world.run_for(down / 2);
+    delete_entry();
+    world.run_for(down / 2);
+    for (const auto& id : killed) {
+        world.restart(id);
+        world.run_for(between_starts);
+    }
+}
+
 constexpr std::uint64_t seeds = 10;
 
 } // namespace
@@ -82,6 +101,9 @@
     CPPUNIT_TEST(frozen_followers_are_replaced_in_time);
     CPPUNIT_TEST(deaf_followers_are_replaced_in_time);
     CPPUNIT_TEST(followers_cut_off_are_replaced_in_time);
+    CPPUNIT_TEST(removed_targets_are_noticed_although_all_followers_restart);
+    CPPUNIT_TEST(ended_evacuations_are_noticed_although_all_followers_restart);
+    CPPUNIT_TEST(restarts_of_followers_copy_no_lists_that_are_the_same);
     CPPUNIT_TEST(a_resumed_follower_reverts_no_changes);
     CPPUNIT_TEST(a_host_that_starts_learns_all_from_its_peers);
     CPPUNIT_TEST(all_hosts_restart_while_the_store_is_away);
@@ -152,6 +174,77 @@
         }
     }
 
+    /// Guards against use of a removed target for as long as the host runs: the followers read the
+    /// list without it, gave the list the revision of its remaining entries, which the others had
+    /// too, and so confirmed it to them with the removed target.
+    void removed_targets_are_noticed_although_all_followers_restart()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            store_world_settings settings{1, 1, 4};
+            settings.seed = seed;
+            auto world = make_world(settings);
+            restart_store_readers(world, [&] { world.delete_target("old"); });
+            world.run_for(settings.max_propagation_delay);
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                   is_up_to_date(world, 1, "stays", "old"));
+            restart_store_readers(world, [&] { world.delete_target("stays"); });
+            world.run_for(settings.max_propagation_delay);
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                   holds_on_healthy_hosts(world, [](const control_state& state) {
+                                       return !knows_target(state, "stays");
+                                   }));
+        }
+    }
+
+    /// The same failure with another list: targets of a failure domain that is back stayed unused.
+    void ended_evacuations_are_noticed_although_all_followers_restart()
+    {
+        constexpr seconds evacuation_bound{5};
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            store_world_settings settings{1, 2, 4};
+            settings.seed = seed;
+            auto world = make_world(settings);
+            world.put_evacuation("r0-0");
+            world.run_for(evacuation_bound);
+            restart_store_readers(world, [&] { world.delete_evacuation("r0-0"); });
+            world.run_for(evacuation_bound);
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                   holds_on_healthy_hosts(world, [](const control_state& state) {
+                                       return state.inventory.evacuated.empty();
+                                   }));
+        }
+    }
+
+    /// A list that was read completely is newer than the copies of it that the others have; these
+    /// are current all the same and are not copied again.
+    void restarts_of_followers_copy_no_lists_that_are_the_same()
+    {
+        constexpr std::size_t targets = 300;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            store_world_settings settings{3, 2, 6};
+            settings.seed = seed;
+            store_world world(settings);
+            for (std::size_t i = 0; i < targets; ++i) {
+                world.put_target("target-" + std::to_string(i));
+            }
+            world.run_for(warm_up);
+            const auto restarted = world.followers();
+            std::map<host_id, std::size_t> before;
+            for (const auto& id : world.hosts()) {
+                before[id] = world.decisions_of(id, "list_copied");
+            }
+            restart_store_readers(world, [] {});
+            world.run_for(seconds(5));
+            for (const auto& id : world.hosts()) {
+                const bool was_restarted = std::ranges::find(restarted, id) != restarted.end();
+                const auto copied = world.decisions_of(id, "list_copied") - before[id];
+                CPPUNIT_ASSERT_MESSAGE(id.value + ", seed " + std::to_string(seed) + ": " +
+                                           std::to_string(copied),
+                                       was_restarted || copied == 0);
+            }
+        }
+    }
+
     /// The lists of a resumed follower are outdated, and its steady clock stopped while it was
     /// frozen.
     void a_resumed_follower_reverts_no_changes()
--- a/unit_tests/control/store_world.cpp
+++ b/unit_tests/control/store_world.cpp
@@ -184,6 +184,13 @@
     return all;
 }
 
+std::size_t store_world::decisions_of(const host_id& id, const std::string& kind) const
+{
+    const auto& decisions = hosts_.at(id)->decisions;
+    const auto found = decisions.find(kind);
+    return found == decisions.end() ? 0 : found->second;
+}
+
 bool store_world::reaches_peers(const host_id& id) const
 {
     const auto found = faults_.find(id);
@@ -208,6 +215,8 @@
     for (const auto& e : all) {
         if (const auto* gossip = std::get_if<send_gossip_effect>(&e)) {
             send(id, *gossip);
+        } else if (const auto* recorded = std::get_if<record_effect>(&e)) {
+            ++hosts_.at(id)->decisions[recorded->made.kind];
         } else if (const auto* permit = std::get_if<permit_verdict_effect>(&e)) {
             if (permit->is_granted) {
                 permits_[permit_targets_.at(permit->request)].push_back(now_);
@@ -235,8 +244,11 @@
         } else if (const auto* listed = std::get_if<register_host_effect>(&e)) {
             ++hosts_.at(id)->calls;
             if (reaches_store(id)) {
-                commit_change(inventory_kind::hosts, id.value,
-                              inventory_item{id.value, listed->self});
+                // The store refuses to create an entry that exists.
+                if (!objects_.at(index_of(inventory_kind::hosts)).contains(id.value)) {
+                    commit_change(inventory_kind::hosts, id.value,
+                                  inventory_item{id.value, listed->self});
+                }
                 after(store_delay,
                       [this, id, life] { deliver(id, life, host_registered_event{done{}}); });
             }
@@ -422,6 +434,11 @@
                          inventory_item{domain, evacuation{failure_domain_id(domain)}});
 }
 
+store_revision store_world::delete_evacuation(const std::string& domain)
+{
+    return commit_change(inventory_kind::evacuations, domain, std::nullopt);
+}
+
 store_revision store_world::put_configuration(std::uint64_t number)
 {
     return commit_change(
--- a/unit_tests/control/store_world.h
+++ b/unit_tests/control/store_world.h
@@ -42,6 +42,7 @@
     store_revision put_target(const std::string& name, std::uint64_t life = 1);
     store_revision delete_target(const std::string& name);
     store_revision put_evacuation(const std::string& domain);
+    store_revision delete_evacuation(const std::string& domain);
     store_revision put_configuration(std::uint64_t number);
     /// A configuration with this many routes. One route's text differs between two generations.
     store_revision put_routes(std::uint64_t number, std::size_t count);
@@ -60,6 +61,8 @@
 
     /// Bytes of copies and of announced changes that the hosts have sent to each other.
     std::size_t copied_bytes() const { return copied_bytes_; }
+    /// Number of decisions of one kind that a host has recorded, over all its incarnations.
+    std::size_t decisions_of(const host_id& id, const std::string& kind) const;
     /// Number of calls between hosts that carried crash evidence.
     std::size_t evidence_calls() const { return evidence_calls_; }
 
@@ -85,6 +88,7 @@
         control_state state;
         std::uint64_t life = 0; ///< events for an earlier incarnation are dropped
         std::size_t calls = 0;
+        std::map<std::string, std::size_t> decisions; ///< number of them by kind
         std::chrono::milliseconds suspended{0}; ///< offset by which its steady clock is behind
         std::chrono::milliseconds frozen_at{0};
         std::chrono::milliseconds link_busy_until{0};
--- a/unit_tests/peer/peer_test.cpp
+++ b/unit_tests/peer/peer_test.cpp
@@ -1,7 +1,9 @@
 #include "peer/gossip_message.h"
 #include "peer/host_status.h"
+#include "peer/inventory_copy.h"
 #include "peer/rpc_server.h"
 
+#include <limits>
 #include <random>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -14,12 +16,30 @@
 
 gossip_message sample_message()
 {
-    return {host_id("a"),
-            {1'800'000'000'000, 3},
-            generation(7),
-            0xfedcba9876543210U,
-            {{host_id("a"), incarnation(5), 9, false, true},
-             {host_id("b"), incarnation(6), 1, true, false}}};
+    gossip_message message{host_id("a"),
+                           {1'800'000'000'000, 3},
+                           generation(7),
+                           0xfedcba9876543210U,
+                           {{host_id("a"), incarnation(5), 9, false, true},
+                            {host_id("b"), incarnation(6), 1, true, false}}};
+    message.digests = {list_digest{}, list_digest(8), list_digest{}, list_digest(9)};
+    return message;
+}
+
+inventory_copy sample_copy()
+{
+    inventory_copy copy;
+    copy.at.fill(store_revision(9));
+    copy.targets.resize(1);
+    copy.targets.front().definition.id.value = "t";
+    copy.hosts = {{host_id("h"), failure_domain_id("a"), {"127.0.1.1", 7000}, {"127.0.1.1", 7001}}};
+    copy.evacuated = {failure_domain_id("a")};
+    copy.revisions = {entry_revisions{},
+                      {{"t", store_revision(3)}},
+                      {{"a", store_revision(4)}},
+                      {{"h", store_revision(5)}}};
+    copy.digests.fill(list_digest(0xfedcba9876543210U));
+    return copy;
 }
 
 http::request signed_request(const std::string& body, const shared_secret& with)
@@ -39,6 +59,8 @@
 class peer_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(peer_test);
     CPPUNIT_TEST(gossip_survives_a_round_trip);
+    CPPUNIT_TEST(a_copy_survives_a_round_trip);
+    CPPUNIT_TEST(a_copy_of_an_earlier_version_has_no_revisions);
     CPPUNIT_TEST(unauthenticated_gossip_is_refused);
     CPPUNIT_TEST(any_bytes_are_refused_or_read);
     CPPUNIT_TEST(full_gossip_fits_a_datagram);
@@ -53,6 +75,28 @@
         CPPUNIT_ASSERT(value_of(decoded) == sample_message());
     }
 
+    void a_copy_survives_a_round_trip()
+    {
+        const auto copy = sample_copy();
+        const auto decoded = decode_inventory_copy(encode(copy));
+        CPPUNIT_ASSERT(succeeded(decoded));
+        CPPUNIT_ASSERT(value_of(decoded).targets == copy.targets);
+        CPPUNIT_ASSERT(value_of(decoded).revisions == copy.revisions);
+        CPPUNIT_ASSERT(value_of(decoded).digests == copy.digests);
+    }
+
+    void a_copy_of_an_earlier_version_has_no_revisions()
+    {
+        const auto decoded = decode_inventory_copy(
+            R"({"at":[0,9,9,9],"since":[0,0,0,0],"names":["s","a"],)"
+            R"("targets":[["t",0,1,"127.1.1.1",9000,3,true,1,false,0]],)"
+            R"("hosts":[["h",1,"127.0.1.1",7000,"127.0.1.1",7001,1]],"evacuated":["a"],"gone":[]})");
+        CPPUNIT_ASSERT(succeeded(decoded));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, value_of(decoded).targets.size());
+        CPPUNIT_ASSERT(value_of(decoded).revisions == decltype(inventory_copy::revisions){});
+        CPPUNIT_ASSERT(value_of(decoded).digests == inventory_digests{});
+    }
+
     void unauthenticated_gossip_is_refused()
     {
         const auto datagram = encode(sample_message(), {"the secret of somebody else"});
@@ -85,6 +129,7 @@
             message.heartbeats.push_back({host_id("gaziantep-a-" + std::to_string(100 + i)),
                                           incarnation(1'800'000'000'000), 1U << 31U, false, false});
         }
+        message.digests.fill(list_digest(std::numeric_limits<std::uint64_t>::max()));
         CPPUNIT_ASSERT(encode(message, secret).size() <= max_datagram_bytes);
     }
 
