Bound the answers of health probes

Callers would see: a host that runs out of memory ends the requests of all of them.

Cause: the HTTP client kept up to 16 MiB of any answer, and all ejected targets are probed at the same time. Requests were bounded already; probes were not looked at by the tests of endless bytes.

Ruled out: heads and chunk extensions without end, which the parser bounds (they are among the shapes of the test).

Change: a bound for each call; 16 KiB for a probe, of which only the status is used.

--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::chrono::milliseconds peer_timeout{1'000};
 constexpr std::chrono::milliseconds probe_timeout{1'000};
+/// Many targets are probed at the same time, and a faulty one may send without end.
+constexpr std::size_t max_probe_response_bytes = 16UL * 1024;
 constexpr unsigned server_error = 500;
 
 void run(interpreter& i, const publish_effect& e)
@@ -162,7 +164,7 @@
 
 void run(interpreter& i, const probe_effect& e)
 {
-    i.client->send(e.address, {"GET", e.path, {}, {}}, probe_timeout,
+    i.client->send(e.address, {"GET", e.path, {}, {}, max_probe_response_bytes}, probe_timeout,
                    [emit = i.emit, id = e.target](const result<http::response>& answer) {
                        const bool answered =
                            succeeded(answer) && value_of(answer).status < server_error;
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -25,7 +25,6 @@
 using beast_response = beast::http::response<beast::http::string_body>;
 
 constexpr std::size_t max_idle_per_endpoint = 8;
-constexpr std::size_t max_response_bytes = 16UL * 1024 * 1024;
 /// Connections idle for longer are not reused; the peer may have dropped them.
 constexpr std::chrono::seconds max_idle{20};
 
@@ -98,7 +97,8 @@
     std::optional<response> answer;
 };
 
-asio::awaitable<attempt> exchange(beast::tcp_stream& stream, const beast_request& message)
+asio::awaitable<attempt> exchange(beast::tcp_stream& stream, const beast_request& message,
+                                  std::size_t max_response_bytes)
 {
     attempt a;
     a.sent = true;
@@ -136,7 +136,7 @@
     auto stream = take_idle(*state, to);
     if (stream) {
         stream->expires_after(timeout);
-        a = co_await exchange(*stream, message);
+        a = co_await exchange(*stream, message, r.max_response_bytes);
     }
     // The peer may have closed a reused connection in the meantime. Only GET requests are resent,
     // since any other request may already have been processed.
@@ -150,7 +150,7 @@
                                        asio::redirect_error(asio::use_awaitable, a.problem));
         if (!a.problem) {
             stream->socket().set_option(tcp::no_delay(true), a.problem);
-            a = co_await exchange(*stream, message);
+            a = co_await exchange(*stream, message, r.max_response_bytes);
         }
     }
     if (a.problem == beast::error::timeout) {
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -12,11 +12,15 @@
     std::string value;
 };
 
+constexpr std::size_t default_max_response_bytes = 16UL * 1024 * 1024;
+
 struct request {
     std::string method;
     std::string path; ///< including the query, as in the request line
     std::vector<header> headers;
     std::string body;
+    /// For the client: a longer body of the response counts as a lost response.
+    std::size_t max_response_bytes = default_max_response_bytes;
 };
 
 struct response {
--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -65,7 +65,8 @@
     std::string pause;   ///< if not empty, requests are turned away with this Retry-After
     std::chrono::steady_clock::time_point state_set;
     std::vector<std::chrono::steady_clock::time_point> arrivals; ///< since `state_set`
-    std::string runs_file; ///< file for keys of non-GET requests; kept over restarts
+    std::string endless_health; ///< if not empty, the shape of endless answers to health probes
+    std::string runs_file;      ///< file for keys of non-GET requests; kept over restarts
 };
 
 /// By then all callers have been told what the target states.
@@ -309,6 +310,10 @@
         co_await write_text(socket, head(text.size(), "") + text, problem);
         co_return;
     }
+    if (parts.path == "/healthz" && !t.endless_health.empty()) {
+        co_await serve_endless(socket, t.endless_health, "", problem);
+        co_return;
+    }
     if (parts.path == "/healthz") {
         co_await write_text(socket, head(0, ""), problem);
         co_return;
@@ -415,8 +420,11 @@
                                     command_line);
     TCLAP::ValueArg<std::string> runs("", "runs", "file for the keys of executed requests", false,
                                       "", "FILE", command_line);
+    TCLAP::ValueArg<std::string> health("", "endless-health", "answer health probes without end",
+                                        false, "", "SHAPE", command_line);
     command_line.parse(argc, argv);
     target t;
+    t.endless_health = health.getValue();
     t.runs_file = runs.getValue();
     t.id = id.getValue();
     t.slots = slots.getValue();
