--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -164,6 +164,15 @@
     return std::chrono::milliseconds{0};
 }
 
+/// The name after which the next page begins. Entries that cannot be read may have no name; empty
+/// if that holds for all of them.
+std::string last_name(const inventory_page& page)
+{
+    const auto named = [](const inventory_item& item) { return !item.name.empty(); };
+    const auto last = std::find_if(page.items.rbegin(), page.items.rend(), named);
+    return last == page.items.rend() ? std::string() : last->name;
+}
+
 void report_list_read(control_state& state, const event& e, inventory_kind kind,
                       store_revision before, std::size_t entries, std::size_t dropped, effects& out)
 {
@@ -197,7 +206,12 @@
         list.seen.insert(item.name);
     }
     if (page.has_more && !page.items.empty()) {
-        list.page_after = page.items.back().name;
+        list.page_after = last_name(page);
+        if (list.page_after.empty()) {
+            const error problem{result_code::platform_bad_answer,
+                                "a page of entries without names"};
+            handle_failure(state, e, list, problem, out);
+        }
         return;
     }
     const auto entries = list.seen.size();
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -261,6 +261,7 @@
     CPPUNIT_TEST(serves_once_configuration_and_targets_are_known);
     CPPUNIT_TEST(host_changes_cost_one_snapshot_per_tick);
     CPPUNIT_TEST(lists_come_in_pages);
+    CPPUNIT_TEST(a_page_that_ends_with_an_unreadable_name_is_followed_by_the_next);
     CPPUNIT_TEST(a_list_is_not_shared_before_its_last_page);
     CPPUNIT_TEST(a_list_read_again_removes_unlisted_entries);
     CPPUNIT_TEST(unreadable_entries_are_ignored_and_logged_once);
@@ -346,6 +347,23 @@
         CPPUNIT_ASSERT(knows(state, "t1") && knows(state, "t2"));
     }
 
+    /// Guards against a list of which the first page is read for ever.
+    void a_page_that_ends_with_an_unreadable_name_is_followed_by_the_next()
+    {
+        auto state = make_state();
+        const inventory_item unnamed{"", unreadable_entry{"no name"}};
+        reduce(state, at(milliseconds(1), tick_event{}));
+        answer(state, milliseconds(2), inventory_kind::targets, {item_of(target_of("t1")), unnamed},
+               5, true);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"),
+                             pending_query_of(state, inventory_kind::targets).after);
+        const auto calls = list_of(state.inventory, inventory_kind::targets).call;
+        answer(state, milliseconds(3), inventory_kind::targets, {unnamed}, 5, true);
+        const auto& list = list_of(state.inventory, inventory_kind::targets);
+        CPPUNIT_ASSERT_EQUAL(calls, list.call); // Not queried again at once.
+        CPPUNIT_ASSERT_EQUAL(1U, list.failures);
+    }
+
     /// Guards against sharing a partly read list: in a simulation of 72 hosts, a peer copied a list
     /// of which the sender had read one page of two, and permanently lacked 8 hosts.
     void a_list_is_not_shared_before_its_last_page()
--- a/unit_tests/platform/registry_test.cpp
+++ b/unit_tests/platform/registry_test.cpp
@@ -52,12 +52,61 @@
     return std::holds_alternative<unreadable_entry>(decode_item(kind, object).entry);
 }
 
+constexpr std::size_t shown = 200;
+
+std::string object_named(const std::string& name)
+{
+    auto object = valid_target_entry();
+    object["metadata"]["name"] = name;
+    return object.dump();
+}
+
+/// Objects named "odd" of which one value cannot be read, and which no parser should choke on.
+std::vector<std::string> odd_objects()
+{
+    const auto with = [](const std::string& member) {
+        return R"({"metadata":{"name":"odd","revision":8},"spec":{"service":"s",)" + member + "}}";
+    };
+    constexpr std::size_t deep = 400'000;
+    const auto nested = std::string(deep, '[') + std::string(deep, ']');
+    return {with(R"("address":"\ud800")"),
+            with("\"address\":\"\xff\""),
+            with("\"address\":\"\xc3\""), // The quote is no continuation of this byte.
+            with("\"address\":\"a\nb\""),
+            with(R"("slots":1e999)"),
+            with(R"("slots":-1e999)"),
+            with(R"("slots":123456789012345678901234567890)"),
+            with(R"("slots":NaN)"),
+            with(R"("address":"10.0.0.1:99999")"),
+            with(R"("slots":)" + nested),
+            with(R"("address":"]}],\"at\":0")"),
+            R"({"metadata":{"name":"odd","revision":8},"spec":)" + nested + "}",
+            R"({"metadata":{"name":"odd","revision":8}})"};
+}
+
+/// The entries before and after the odd one can be used; it is known by name to be unreadable.
+void check_items(const std::string& odd, const inventory_page& page)
+{
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, page.items.size());
+    for (const auto i : {std::size_t{0}, std::size_t{2}}) {
+        CPPUNIT_ASSERT_MESSAGE(odd.substr(0, shown),
+                               std::holds_alternative<registered_target>(page.items[i].entry));
+    }
+    CPPUNIT_ASSERT_MESSAGE(odd.substr(0, shown),
+                           std::holds_alternative<unreadable_entry>(page.items[1].entry));
+    CPPUNIT_ASSERT_EQUAL(std::string("odd"), page.items[1].name);
+}
+
 } // namespace
 
 class registry_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(registry_test);
     CPPUNIT_TEST(a_target_entry_becomes_a_target);
     CPPUNIT_TEST(malformed_target_entries_are_unreadable);
+    CPPUNIT_TEST(numbers_out_of_range_are_unreadable);
+    CPPUNIT_TEST(an_unreadable_entry_hides_no_others_of_a_list);
+    CPPUNIT_TEST(an_unreadable_entry_hides_no_other_changes);
+    CPPUNIT_TEST(an_evacuation_holds_whatever_its_entry_contains);
     CPPUNIT_TEST(a_manifest_becomes_a_fleet);
     CPPUNIT_TEST(broken_manifests_are_findings);
     CPPUNIT_TEST(a_manifest_is_the_same_after_it_was_divided);
@@ -103,6 +152,83 @@
         CPPUNIT_ASSERT(is_unreadable({{"metadata", {{"name", "x"}}}, {"spec", nullptr}}));
     }
 
+    /// Guards against an odd number that is taken for another one: a target with 4 billion slots,
+    /// or one with an incarnation that no later one exceeds.
+    void numbers_out_of_range_are_unreadable()
+    {
+        const std::vector<std::pair<const char*, json>> odd{{"slots", -1},
+                                                            {"slots", 1e300},
+                                                            {"slots", 4294967296},
+                                                            {"slots", 3.5},
+                                                            {"slots", true},
+                                                            {"cold_left_s", 1e300},
+                                                            {"cold_left_s", -1e20},
+                                                            {"cold_left_s", true},
+                                                            {"born", -5},
+                                                            {"born", 1e30},
+                                                            {"born", "5"},
+                                                            {"address", "10.0.0.1:70000"},
+                                                            {"address", "10.0.0.1:-1"},
+                                                            {"address", "10.0.0.1:0"}};
+        for (const auto& [key, value] : odd) {
+            auto object = valid_target_entry();
+            object["spec"][key] = value;
+            CPPUNIT_ASSERT_MESSAGE(key + (" " + value.dump()), is_unreadable(object));
+        }
+        auto whole = valid_target_entry();
+        whole["spec"]["slots"] = 3.0; // A whole number all the same.
+        CPPUNIT_ASSERT(!is_unreadable(whole));
+        for (const auto* name : {"", "a b", "a\r\nX-Other: 1", "\x01"}) {
+            auto object = valid_target_entry();
+            object["metadata"]["name"] = name;
+            CPPUNIT_ASSERT_MESSAGE(name, is_unreadable(object));
+        }
+    }
+
+    /// Guards against a list that hosts cannot read because of one entry of another writer: no
+    /// change of the list took effect any more, and hosts that started did not become ready.
+    void an_unreadable_entry_hides_no_others_of_a_list()
+    {
+        for (const auto& odd : odd_objects()) {
+            const auto body = R"({"items":[)" + object_named("i-1") + "," + odd + "," +
+                              object_named("i-2") + R"(],"has_more":false,"at":9})";
+            inventory_query question;
+            question.kind = inventory_kind::targets;
+            const auto page = registry_protocol.decode_page(question, {200, {}, body});
+            CPPUNIT_ASSERT_MESSAGE(odd.substr(0, shown), succeeded(page));
+            check_items(odd, value_of(page));
+        }
+    }
+
+    /// The odd objects as evacuations: only their names count.
+    void an_evacuation_holds_whatever_its_entry_contains()
+    {
+        for (const auto& odd : odd_objects()) {
+            const auto item = decode_item_text(inventory_kind::evacuations, odd);
+            CPPUNIT_ASSERT_MESSAGE(odd.substr(0, shown),
+                                   item.entry ==
+                                       decltype(item.entry)(evacuation{failure_domain_id("odd")}));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, item.revision.value);
+        }
+    }
+
+    void an_unreadable_entry_hides_no_other_changes()
+    {
+        for (const auto& odd : odd_objects()) {
+            const auto event_of = [](const std::string& object) {
+                return R"({"object":)" + object + R"(,"deleted":false})";
+            };
+            const auto body = R"({"events":[)" + event_of(object_named("i-1")) + "," +
+                              event_of(odd) + "," + event_of(object_named("i-2")) + R"(],"at":9})";
+            inventory_query question;
+            question.kind = inventory_kind::targets;
+            question.follow = true;
+            const auto page = registry_protocol.decode_page(question, {200, {}, body});
+            CPPUNIT_ASSERT_MESSAGE(odd.substr(0, shown), succeeded(page));
+            check_items(odd, value_of(page));
+        }
+    }
+
     void a_manifest_becomes_a_fleet()
     {
         const auto f = std::get<fleet>(parse_manifest_parts(parts_of(manifest())));
