Decide once where the body of a request ends

Cause: the end of a body was decided by the parser while reading and by the header's fields while writing, from which Connection removed any field that it named; answers of the host's own left bodies unread on a kept connection; unknown or misplaced transfer codings were accepted.

Change: message_framing checks a request's framing before anything else looks at it (400, or 501 with the new result code 3025, then close), frames requests anew for targets, and keeps the fields that frame, route or identify a message, in answers of targets too. Answers of the host's own close the connection unless the body has been read.

--- a/source/common/result_code.cpp
+++ b/source/common/result_code.cpp
@@ -74,6 +74,8 @@
      "The target was withdrawn while its connection was made; it was not run."},
     {targets_limited, "targets_limited",
      "The targets take no more requests for now, as they have stated; it was not run."},
+    {transfer_coding_unknown, "transfer_coding_unknown",
+     "The request's body has a transfer coding that is not known here; it was not run."},
 
     {key_missing, "key_missing",
      "The route must not repeat and the request has no key; it was not run."},
--- a/source/common/result_code.h
+++ b/source/common/result_code.h
@@ -60,6 +60,7 @@
     target_replaced = 3022,
     target_withdrawn = 3023,
     targets_limited = 3024,
+    transfer_coding_unknown = 3025,
 
     key_missing = 4001,
     key_malformed = 4002,
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -1,11 +1,11 @@
 #include "traffic/exchange.h"
 
 #include "traffic/caller_reader.h"
+#include "traffic/message_framing.h"
 #include "traffic/request_log.h"
 #include "traffic/spill.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <optional>
 
@@ -32,30 +32,6 @@
 constexpr unsigned first_server_error = 500;
 constexpr unsigned status_wrong_target = 421;
 
-constexpr auto hop_by_hop = std::to_array<beast::http::field>({
-    beast::http::field::connection,
-    beast::http::field::keep_alive,
-    beast::http::field::proxy_authenticate,
-    beast::http::field::proxy_authorization,
-    beast::http::field::proxy_connection,
-    beast::http::field::te,
-    beast::http::field::trailer,
-    beast::http::field::upgrade,
-    beast::http::field::expect,
-});
-
-template <bool is_request>
-void strip_hop_by_hop(beast::http::header<is_request, beast::http::fields>& head)
-{
-    const std::string connection(head[beast::http::field::connection]);
-    for (const auto& token : beast::http::token_list(connection)) {
-        head.erase(token);
-    }
-    for (const auto field : hop_by_hop) {
-        head.erase(field);
-    }
-}
-
 std::chrono::milliseconds time_left(const caller_request& request)
 {
     const auto left = request.deadline - clock::now();
@@ -63,12 +39,18 @@
                     std::chrono::milliseconds{0});
 }
 
+std::optional<std::uint64_t> length_of(const caller_parser& parser)
+{
+    const auto length = parser.content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 beast::http::request<beast::http::buffer_body> make_head(const worker& w, const slot& used,
                                                          const caller_request& request)
 {
     beast::http::request<beast::http::buffer_body> head;
     head.base() = request.parser->get().base();
-    strip_hop_by_hop(head.base());
+    remove_connection_fields(head, *w.context.profile);
     head.version(11);
     head.erase(spill_header);
     if (used.is_spill) {
@@ -79,10 +61,11 @@
     if (used.checks_identity) {
         head.set(profile.expected_target_header, used.target.value);
     }
-    if (request.body_is_complete && head.chunked()) {
-        head.chunked(false);
-        head.content_length(request.body.size());
+    auto size = body_size_of(request.parser->get(), length_of(*request.parser));
+    if (request.body_is_complete && size.has_body) {
+        size.bytes = request.body.size();
     }
+    set_framing(head, size);
     return head;
 }
 
@@ -155,7 +138,7 @@
 {
     auto& answer = parser.get();
     const bool has_no_length = parser.need_eof() && !answer.chunked();
-    strip_hop_by_hop(answer.base());
+    remove_connection_fields(answer, *w.context.profile);
     if (has_no_length) {
         answer.chunked(request.parser->get().version() >= 11);
     }
--- a/source/traffic/forward_claimed.h
+++ b/source/traffic/forward_claimed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "traffic/forward.h"
+#include "traffic/outcome.h"
 
 /// Non-idempotent requests: their idempotency key is claimed before they are forwarded, and their
 /// outcome is recorded afterwards.
@@ -12,8 +13,6 @@
     std::optional<claim_answer> replayed; ///< the stored first response, if the key was used before
 };
 
-inline constexpr std::string_view key_header = "Idempotency-Key";
-
 /// Claims the request's idempotency key, forwards the request if the claim is granted, and records
 /// the outcome. The outcome in a refusal refers to the key: it is "not-run" only if no request with
 /// this key is running or has run.
--- a/source/traffic/lookup.cpp
+++ b/source/traffic/lookup.cpp
@@ -51,11 +51,10 @@
 }
 
 asio::awaitable<void> answer_lookup(worker& w, caller_connection& connection, std::uint64_t turn,
-                                    const caller_parser& parser)
+                                    const caller_parser& parser, bool keep_alive)
 {
     const auto target = parser.get().target();
     const auto parts = http::split_path({target.data(), target.size()});
-    const bool keep_alive = parser.get().keep_alive();
     const auto found = is_ready(w) ? lookup_answer_for(w, connection, parts) : std::nullopt;
     if (!found) {
         const bool is_unknown = is_ready(w) && w.context.profile->encode_lookup == nullptr;
@@ -72,14 +71,14 @@
 }
 
 asio::awaitable<void> answer_readiness(worker& w, caller_connection& connection, std::uint64_t turn,
-                                       const caller_parser& parser)
+                                       bool keep_alive)
 {
     local_response answer;
     answer.version(11);
     const bool takes_callers = is_ready(w) && !w.snapshot->leaving && !w.stopping;
     answer.result(takes_callers ? beast::http::status::ok
                                 : beast::http::status::service_unavailable);
-    co_await send_local_response(w, connection, turn, answer, parser.get().keep_alive());
+    co_await send_local_response(w, connection, turn, answer, keep_alive);
 }
 
 } // namespace almondquay
--- a/source/traffic/outcome.cpp
+++ b/source/traffic/outcome.cpp
@@ -43,6 +43,8 @@
     case result_code::target_failed:
     case result_code::claim_answer_not_kept:
         return 502;
+    case result_code::transfer_coding_unknown:
+        return 501;
     case result_code::deadline_passed:
         return 504;
     default:
--- a/source/traffic/outcome.h
+++ b/source/traffic/outcome.h
@@ -18,6 +18,7 @@
 
 inline constexpr std::string_view outcome_header = "Almondquay-Outcome";
 inline constexpr std::string_view result_header = "Almondquay-Result";
+inline constexpr std::string_view key_header = "Idempotency-Key"; ///< on requests
 /// Marks a stored response that is replayed for a repeated idempotency key.
 inline constexpr std::string_view replayed_header = "Almondquay-Replayed";
 inline constexpr std::string_view host_header = "Almondquay-Host";
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -4,6 +4,7 @@
 #include "traffic/forward_claimed.h"
 #include "traffic/local_response.h"
 #include "traffic/lookup.h"
+#include "traffic/message_framing.h"
 #include "traffic/request_log.h"
 #include "traffic/request_rules.h"
 
@@ -166,22 +167,29 @@
         co_await refuse_and_close(w, connection, turn, code);
         co_return false;
     }
+    if (const auto framing = check_framing(parser.get()); framing != result_code::ok) {
+        count_refused(w, framing);
+        log_refused(w, request_id_of(w, parser), framing);
+        co_await refuse_and_close(w, connection, turn, framing);
+        co_return false;
+    }
+    // An answer of this host's own does not wait for a body, which must not be read as a request.
+    const bool keep_alive = parser.is_done() && parser.get().keep_alive();
     if (is_path(parser, w.context.profile->lookup_path)) {
-        co_await answer_lookup(w, connection, turn, parser);
+        co_await answer_lookup(w, connection, turn, parser, keep_alive);
         end_turn(connection);
-        co_return true;
+        co_return keep_alive;
     }
     if (is_path(parser, w.context.profile->readiness_path)) {
-        co_await answer_readiness(w, connection, turn, parser);
+        co_await answer_readiness(w, connection, turn, keep_alive);
         end_turn(connection);
-        co_return true;
+        co_return keep_alive;
     }
     const route_rule* rule = nullptr;
     const auto refused = check_request(w, parser, rule);
     if (refused != result_code::ok) {
         count_refused(w, refused);
         log_refused(w, request_id_of(w, parser), refused);
-        const bool keep_alive = parser.is_done() && parser.get().keep_alive();
         co_await refuse(w, connection, turn, refused_result(refused), keep_alive);
         end_turn(connection);
         co_return keep_alive;
