Remove targets at once if the store was away from one host only

Callers saw: requests at targets later than 2 s after the store had acknowledged that they leave.

Cause: entries expire while the store is away, so missing targets have 2 s to come back after its return; each host measured that from its own calls, though the store had served all others.

Change: the shared confirmations of the list show when the store was away from all hosts; only after 2.5 s without any, the shortest outage in which an entry can expire, do missing targets get their time.

Test: deletions_take_effect_at_once_if_others_read_the_store_all_the_while fails on the code before. One test played an outage of 2 s, in which no entry can expire, and plays 5 s now with the same assertions.

--- a/source/control/inventory_items.cpp
+++ b/source/control/inventory_items.cpp
@@ -44,14 +44,22 @@
         {"target_gone", rule, "Target " + id.value + " is removed.", {}, {{"target", id.value}}});
 }
 
+/// Whether the store was away from all hosts, long enough for entries to expire, within the last
+/// `reregistration_time`.
+bool may_have_expired(const inventory_list& list, monotonic_time now)
+{
+    return now - list.confirmed >= shortest_lapse || now - list.gap_ended < reregistration_time;
+}
+
 /// Entries expire during an outage of the store, so a target that is missing soon after the outage
 /// has the rest of `reregistration_time` to register again. A deletion seen later takes effect at
-/// once.
+/// once, and so does one that is seen by a host from which alone the store was away.
 void handle_missing_target(control_state& state, const event& e, const target_id& id, effects& out)
 {
     auto& inventory = state.inventory;
     const auto latest = inventory.reachable_since + reregistration_time;
-    const bool was_away = inventory.last_failure != monotonic_time{};
+    const bool was_away = inventory.last_failure != monotonic_time{} &&
+                          may_have_expired(list_of(inventory, inventory_kind::targets), e.now);
     if (!was_away || (state.fleet.platform_reachable && e.now >= latest)) {
         remove_target(state, e, id, "its entry was deleted", out);
     } else if (inventory.targets.contains(id)) {
@@ -107,6 +115,14 @@
 
 } // namespace
 
+void confirm_list(inventory_list& list, monotonic_time at)
+{
+    if (at - list.confirmed >= shortest_lapse) {
+        list.gap_ended = at;
+    }
+    list.confirmed = std::max(list.confirmed, at);
+}
+
 void apply_target(control_state& state, const event& e, const registered_target& entry,
                   effects& out)
 {
--- a/source/control/inventory_items.h
+++ b/source/control/inventory_items.h
@@ -31,6 +31,14 @@
 void apply_removal(control_state& state, const event& e, inventory_kind kind,
                    const std::string& name, std::chrono::milliseconds grace_left, effects& out);
 
+/// Without a call for this long, entries of targets may expire: they do so after three intervals of
+/// registration of 1.5 s, the first of which may have begun before the outage.
+constexpr std::chrono::milliseconds shortest_lapse{2'500};
+
+/// Records that a list was known to be complete at a time. The confirmations of all hosts together
+/// show when the store was away, also to a host that alone was turned away.
+void confirm_list(inventory_list& list, monotonic_time at);
+
 /// Removes the entries that a complete list with the names `seen` no longer contains. Returns how
 /// many there were.
 std::size_t remove_unlisted(control_state& state, const event& e, inventory_kind kind,
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -225,7 +225,7 @@
     list.is_following = true;
     list.had_changes = true;
     list.at = list.read_at;
-    list.confirmed = list.queried_at;
+    confirm_list(list, list.queried_at);
     // Deletions leave no revision in a complete list, so that only the revision at which it was
     // read is known to include them. Changes made after its first page was read are not known yet.
     const bool is_configuration = query.kind == inventory_kind::configuration;
@@ -250,7 +250,7 @@
     const auto before = list.changed;
     list.changed = std::max(list.changed, latest_change(page));
     list.at = page.at;
-    list.confirmed = e.now;
+    confirm_list(list, e.now);
     list.had_changes = has_changes;
     list.next_call = has_changes ? e.now + pause_after(query.kind) : e.now;
     for (const auto& item : page.items) {
--- a/source/control/peer_inventory.cpp
+++ b/source/control/peer_inventory.cpp
@@ -537,7 +537,7 @@
                                   (is_configuration ? message.in_force.value != 0
                                                     : shares_confirmation(list, theirs, digest));
         if (!behind && is_confirmed) {
-            list.confirmed = std::max(list.confirmed, e.now - message.confirmed.at(i));
+            confirm_list(list, e.now - message.confirmed.at(i));
         }
         if (lacks_changes && list.behind_since == monotonic_time{}) {
             list.behind_since = e.now;
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -112,6 +112,7 @@
     store_revision at;             ///< changes up to this revision have been read
     store_revision changed;        ///< store revision of the latest change in the list
     monotonic_time confirmed{};    ///< when the current list was last known to be complete
+    monotonic_time gap_ended{};    ///< when confirmations came again that had ceased for long
     monotonic_time queried_at{};   ///< when changes or the first page of the list were queried
     store_revision read_at;        ///< store revision of the first page of the list being read
     store_revision read_changed;   ///< store revision of the latest change on the pages read so far
