Refuse responses whose status is outside 100 to 599

Callers saw: a target's answer with status 000 as the answer to their request, on both kinds of route; above 599 where the request may not be repeated.

Cause: the parser takes any three digits as a status, and nothing after it asked whether they are one. What the host reads through http::client has the same gap: a health probe answered with 000 counted as a good one, as 000 is below 500.

Ruled out: a limit to the statuses below 100 only. RFC 9110, 15 names both ends, and 600 to 999 reached callers too.

Change: http::check_response decides what the parser leaves open about the header of a response, final or interim. Both readers of responses ask it before anything else looks at the header: the exchange with a target (502, evidence against the target, connection closed) and http::client (health probes, store, peers, operators' tool: the answer counts as lost). The client now reads the header first, so that no body of a message that is refused is awaited.

Tests: process_broken_answers, with a stand-in that answers in a given shape, to health probes too; client_test.

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/response_check.h"
+
 #include <map>
 #include <optional>
 #include <vector>
@@ -110,8 +112,15 @@
     beast::flat_buffer buffer(max_message_buffer_bytes);
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(max_response_bytes);
-    co_await beast::http::async_read(stream, buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, a.problem));
+    co_await beast::http::async_read_header(stream, buffer, parser,
+                                            asio::redirect_error(asio::use_awaitable, a.problem));
+    if (!a.problem) {
+        a.problem = check_response(parser.get());
+    }
+    if (!a.problem) {
+        co_await beast::http::async_read(stream, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, a.problem));
+    }
     if (!a.problem) {
         a.keep_alive = parser.get().keep_alive() && buffer.size() == 0;
         a.answer = from_beast(parser.release());
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -1,5 +1,6 @@
 #include "traffic/exchange.h"
 
+#include "http/response_check.h"
 #include "traffic/caller_reader.h"
 #include "traffic/message_framing.h"
 #include "traffic/request_log.h"
@@ -334,6 +335,9 @@
         parser->skip(request.parser->get().method() == beast::http::verb::head);
         co_await beast::http::async_read_header(upstream.stream, upstream.buffer, *parser,
                                                 redirect_error_to(problem));
+        if (!problem) {
+            problem = http::check_response(parser->get());
+        }
         if (problem || !is_interim(*parser)) {
             co_return;
         }
--- a/unit_tests/fakes/fake_target.cpp
+++ b/unit_tests/fakes/fake_target.cpp
@@ -32,7 +32,8 @@
 /// that is not HTTP), twice (two answers to one request), repeat (like shed, and the same refusal
 /// once more when the next request arrives on the connection), head0 to head2 (closes in the middle
 /// of the answer's header), drop (closes the connection without an answer), exit (the process
-/// exits) and shed (a 503 that declares the request not executed). With an id it follows the
+/// exits), shed (a 503 that declares the request not executed) and shaped (an answer with the given
+/// start, line and body, also to health probes; see `shaped_answer`). With an id it follows the
 /// protocol of the users' platform: it rejects requests that name another target, and its answers
 /// carry the request's id and its load. GET /state?limit=L&leaving=1&pause=S sets what it states
 /// about itself from then on: the requests a second that it takes, that it is leaving, and a pause
@@ -257,6 +258,19 @@
     }
 }
 
+/// An answer made of query parameters: start (the start of the status line), line (what follows the
+/// other header lines, unless empty) and body. Line ends in them are percent-encoded.
+std::string shaped_answer(const message::path_parts& parts, const std::string& id_line)
+{
+    const auto given = [&](std::string_view name) {
+        return std::string(message::header_of(parts.parameters, name));
+    };
+    const auto start = given("start");
+    const auto line = given("line");
+    return (start.empty() ? "HTTP/1.1 200" : start) + " Shaped\r\nX-Response-Seal: s\r\n" +
+           id_line + line + (line.empty() ? "\r\n" : "\r\n\r\n") + given("body");
+}
+
 /// `id_line` is the header line with the request's id, for faulty answers that must match
 /// this request.
 asio::awaitable<void> serve_faulty(target& t, tcp::socket& socket, std::string fault,
@@ -314,8 +328,10 @@
         co_await serve_endless(socket, t.endless_health, "", problem);
         co_return;
     }
+    const auto fault = std::string(message::header_of(parts.parameters, "fault"));
     if (parts.path == "/healthz") {
-        co_await write_text(socket, head(0, ""), problem);
+        const auto answer = fault == "shaped" ? shaped_answer(parts, "") : head(0, "");
+        co_await write_text(socket, answer, problem);
         co_return;
     }
     if (parts.path == "/state") {
@@ -358,7 +374,11 @@
         problem = asio::error::eof;
         co_return;
     }
-    const auto fault = std::string(message::header_of(parts.parameters, "fault"));
+    if (fault == "shaped") {
+        co_await write_text(socket, shaped_answer(parts, id_line), problem);
+        problem = asio::error::connection_aborted;
+        co_return;
+    }
     if (!fault.empty()) {
         co_await serve_faulty(t, socket, fault, id_line, problem);
         co_return;
--- /dev/null
+++ b/unit_tests/http/client_test.cpp
@@ -0,0 +1,99 @@
+#include "http/client.h"
+
+#include <optional>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace almondquay::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr std::chrono::seconds timeout{5};
+
+/// Answers each request of one connection with `text`; the client is the one that closes.
+asio::awaitable<void> serve(tcp::acceptor& acceptor, std::string text)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    boost::beast::flat_buffer received;
+    error_code problem;
+    while (!problem) {
+        const auto size = co_await asio::async_read_until(
+            socket, received, "\r\n\r\n", asio::redirect_error(asio::use_awaitable, problem));
+        received.consume(size);
+        if (!problem) {
+            co_await asio::async_write(socket, asio::buffer(text),
+                                       asio::redirect_error(asio::use_awaitable, problem));
+        }
+    }
+}
+
+/// What the client makes of `text` as the answer to a request.
+result<response> received(const std::string& text)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    asio::co_spawn(io, serve(acceptor, text), asio::detached);
+    const auto peers = client::create(io);
+    result<response> got = error{result_code::peer_unreachable, "no result"};
+    peers->send({"127.0.0.1", acceptor.local_endpoint().port()}, {"GET", "/", {}, {}}, timeout,
+                [&](result<response> answer) {
+                    got = std::move(answer);
+                    io.stop();
+                });
+    io.run();
+    return got;
+}
+
+/// Checks that the answer is refused as soon as it is seen, not when the timeout has passed.
+void assert_refused(const std::string& text)
+{
+    const auto got = received(text);
+    CPPUNIT_ASSERT_MESSAGE(text, !succeeded(got));
+    CPPUNIT_ASSERT_MESSAGE(text, error_of(got).code == result_code::peer_answer_lost);
+    const auto late = make_error_code(boost::beast::error::timeout).message();
+    CPPUNIT_ASSERT_MESSAGE(text, error_of(got).detail.find(late) == std::string::npos);
+}
+
+} // namespace
+
+/// Guards the readers of health probes, the store, peers and the operators' tool against answers
+/// that are not HTTP.
+class client_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(client_test);
+    CPPUNIT_TEST(a_status_out_of_range_is_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_status_out_of_range_is_refused()
+    {
+        for (const auto* status : {"000", "001", "099", "600", "999"}) {
+            assert_refused("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n");
+        }
+        for (const auto* status : {"200", "299", "404", "599"}) {
+            const auto got =
+                received("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(status, succeeded(got));
+            CPPUNIT_ASSERT_EQUAL(std::string(status), std::to_string(value_of(got).status));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(client_test);
+
+} // namespace almondquay::http
--- /dev/null
+++ b/unit_tests/processes/broken_answers.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# A target answers with a head that is not HTTP. Guards against a host that passes such an answer on, or takes one for
+# a good answer to a health probe.
+here=$(cd "$(dirname "$0")" && pwd)
+. "$here/checks.sh"
+. "$here/registry_hosts.sh"
+
+ask() { # path [method]
+    printf '%s %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-%s\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' \
+        "${2:-GET}" "$1" "$RANDOM" | raw 127.0.1.1:7000 3 | tr -d '\0'
+}
+served() { contains "$(ask /view/a)" "HTTP/1.1 200 OK"; }
+shaped() { # start line body [path] [method]: the answer to a request that the target answers in this shape
+    local answer
+    answer=$(ask "/${4:-view}/a?fault=shaped&start=$1&line=$2&body=$3" "${5:-GET}")
+    ask /view/a >/dev/null # A good answer, so that the host goes on using the target.
+    printf '%s' "$answer"
+}
+refused() { # what start line body: on both kinds of route the host answers in the target's place
+    local kind method path answer
+    for kind in "GET view" "POST stamp"; do
+        read -r method path <<<"$kind"
+        answer=$(shaped "$2" "$3" "$4" "$path" "$method")
+        case $answer in
+        *X-Response-Seal*) fail "$1 ($path) reaches the caller: $answer" ;;
+        "HTTP/1.1 502 "*) say "ok: $1 ($path) is answered 502" ;;
+        *) fail "$1 ($path) is answered: $answer" ;;
+        esac
+    done
+}
+route() { # name kind service
+    printf '{"name":"%s","host":"a.example","path_prefix":"/%s/","kind":"%s","timeout_s":2,"target_latency_s":0.5,"priority":2,"service":"%s","max_attempts":2,"sticky":false,"home_regions":[]}' "$1" "$1" "$2" "$3"
+}
+service() { # name health-path
+    printf '{"name":"%s","health_path":"%s","max_conns":200,"warmup_s":0,"cold_per_s":1000}' "$1" "$2"
+}
+target() { # number service
+    start "target-$1" "$build/unit_tests/fakes/fake_target" --listen "127.1.1.$1:9000" --id "i-$1" --slots 50
+    wait_until 5 store PUT "servers/i-$1" "{\"service\":\"$2\",\"address\":\"127.1.1.$1:9000\",\"zone\":\"north-a\",\"version\":\"v1\",\"slots\":50,\"state\":\"ready\",\"cold_left_s\":0,\"sequence\":1,\"born\":5}"
+}
+ejected() { # the target whose health probes are answered with status 000
+    ask "/probed/a?fault=drop" >/dev/null
+    grep -q 'event=eject_target' "$work/entry-1.out"
+}
+
+start registry "$build/unit_tests/fakes/fake_registry" --listen "$registry"
+registry_seeds=127.0.1.1:7001 start_registry_host 1 north-a "$registry"
+target 1 s || exit 1
+target 2 probed
+store PUT config/main "{\"version\":\"00000002\",\"routes\":[$(route view idempotent s),$(route stamp non_idempotent s),$(route probed idempotent probed)],\"services\":[$(service s /healthz),$(service probed '/healthz?fault=shaped&start=HTTP/1.1%20000&line=Content-Length:0')],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1000000,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+expect "a request is served" wait_until 10 served
+
+for status in 000 099 600 999; do
+    refused "status $status" "HTTP/1.1%20$status" Content-Length:4 body
+    refused "status $status, body until close" "HTTP/1.1%20$status" "" body
+    refused "status $status after an interim answer" "HTTP/1.1%20103%20Early%0D%0A%0D%0AHTTP/1.1%20$status" Content-Length:4 body
+done
+contains_all() { contains "$1" "$2" && contains "$1" X-Response-Seal; }
+expect "status 599 is the target's answer" contains_all "$(shaped HTTP/1.1%20599 Content-Length:4 body stamp POST)" "HTTP/1.1 599 "
+
+expect "a target is ejected" wait_until 20 ejected
+sleep 6 # Several rounds of probes.
+expect "no probe with status 000 counts" equal "$(grep -c 'event=readmit_target' "$work/entry-1.out")" 0
+finish
