Refuse responses with transfer codings other than chunked alone

Callers saw: 200 with the chunk framing as part of the body ("chunked, gzip", "chunked, chunked", "gzip", "identity"), or a body in a coding that nobody had decoded ("gzip, chunked"); a body in chunks from an answer in HTTP/1.0.

Cause: the parser looks for chunks only if "chunked" is the last coding of one line, and reads any other body until the connection ends, or as long as a length beside it says. check_framing decides for requests; for responses, nothing did.

Ruled out: two lines of which the first is "chunked", and a length beside "chunked" in either order. The parser refuses them, the host answers 502; their tests stay. Passing unknown codings on was ruled out as the host asks for none, so that a caller need not know them.

Change: check_response refuses a response unless it has no transfer coding or is HTTP/1.1 with the one coding "chunked".

Tests: process_broken_answers, client_test.

--- a/source/http/response_check.cpp
+++ b/source/http/response_check.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace almondquay::http {
@@ -14,6 +15,17 @@
 /// The valid status codes (RFC 9110, 15).
 constexpr unsigned lowest_status = 100;
 constexpr unsigned highest_status = 599;
+constexpr unsigned first_version_with_codings = 11;
+
+/// Whether the body ends where the parser looks for its end. No other coding is ever asked for, so
+/// none can be decoded, and the parser reads a body with unknown codings until the connection ends.
+/// HTTP/1.0 has no codings: its framing is then faulty (RFC 9112, 6.1).
+bool are_codings_known(const beast::http::response_header<>& head)
+{
+    const auto lines = head.count(beast::http::field::transfer_encoding);
+    return lines == 0 || (lines == 1 && head.version() >= first_version_with_codings &&
+                          beast::iequals(head[beast::http::field::transfer_encoding], "chunked"));
+}
 
 } // namespace
 
@@ -39,6 +51,9 @@
     if (source.has_folded_line()) {
         return beast::http::error::bad_field;
     }
+    if (!are_codings_known(head)) {
+        return beast::http::error::bad_transfer_encoding;
+    }
     return {};
 }
 
--- a/source/http/response_check.h
+++ b/source/http/response_check.h
@@ -35,7 +35,7 @@
 
 /// Checks the header of a response, final or interim, that was read from `source`. A message that
 /// fails is not a response at all: nothing in it may be evaluated or passed on, and its connection
-/// must be closed. Errors: bad_status, bad_field.
+/// must be closed. Errors: bad_status, bad_field, bad_transfer_encoding.
 boost::beast::error_code check_response(const boost::beast::http::response_header<>& head,
                                         const response_header_buffer& source);
 
--- a/unit_tests/http/client_test.cpp
+++ b/unit_tests/http/client_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(a_status_out_of_range_is_refused);
     CPPUNIT_TEST(a_damaged_field_name_is_refused);
     CPPUNIT_TEST(a_folded_line_is_refused);
+    CPPUNIT_TEST(transfer_codings_other_than_chunked_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +123,27 @@
         const auto got = received("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n a");
         CPPUNIT_ASSERT(succeeded(got) && value_of(got).body == " a");
     }
+
+    void transfer_codings_other_than_chunked_are_refused()
+    {
+        const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+        const std::string field = "Transfer-Encoding: ";
+        const std::string length = "Content-Length: 19\r\n";
+        for (const auto* codings :
+             {"gzip", "identity", "", "xchunked", "chunked;a=b", "chunked, gzip",
+              "chunked, chunked", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked",
+              "chunked\r\nTransfer-Encoding: gzip", "chunked\r\nTransfer-Encoding: chunked"}) {
+            assert_refused("HTTP/1.1 200 OK\r\n" + field + codings + "\r\n" + chunks);
+            assert_refused("HTTP/1.1 200 OK\r\n" + length + field + codings + "\r\n" + chunks);
+            assert_refused("HTTP/1.1 200 OK\r\n" + field + codings + "\r\n" + length + chunks);
+        }
+        assert_refused("HTTP/1.0 200 OK\r\n" + field + "chunked\r\n" + chunks);
+        for (const auto* codings : {"chunked", "Chunked", " chunked\t"}) {
+            const auto got = received("HTTP/1.1 200 OK\r\n" + field + codings + "\r\n" + chunks);
+            CPPUNIT_ASSERT_MESSAGE(codings, succeeded(got));
+            CPPUNIT_ASSERT_EQUAL(std::string("body"), value_of(got).body);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(client_test);
--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -79,6 +79,19 @@
     refused "value with $byte" HTTP/1.1%20200 "X-Other:a${byte}b%0D%0AContent-Length:4" body
 done
 
+# Codings that the host cannot decode, or that leave open where the body ends.
+chunks='4%0D%0Abody%0D%0A0%0D%0A%0D%0A'
+for codings in gzip identity "" xchunked chunked%3Ba=b chunked,gzip chunked,chunked gzip,chunked chunked%0D%0ATransfer-Encoding:chunked \
+    gzip%0D%0ATransfer-Encoding:chunked chunked%0D%0ATransfer-Encoding:gzip gzip%0D%0AContent-Length:19 chunked%0D%0AContent-Length:19; do
+    refused "transfer coding '$codings'" HTTP/1.1%20200 "Transfer-Encoding:$codings" "$chunks"
+done
+refused "a length and a transfer coding" HTTP/1.1%20200 "Content-Length:19%0D%0ATransfer-Encoding:gzip" "$chunks"
+refused "a transfer coding in HTTP/1.0" HTTP/1.0%20200 Transfer-Encoding:chunked "$chunks"
+refused "a transfer coding in HTTP/1.0, with status 204" HTTP/1.0%20204 Transfer-Encoding:chunked ""
+refused "an interim answer with an unknown transfer coding" "HTTP/1.1%20103%20Early%0D%0ATransfer-Encoding:gzip%0D%0A%0D%0AHTTP/1.1%20200" Content-Length:4 body
+expect "an answer in chunks is passed on" is_passed_on "$(shaped HTTP/1.1%20200 Transfer-Encoding:%20Chunked%20 "$chunks")" $'4\r\nbody\r\n0\r\n'
+expect "an answer in HTTP/1.0 is passed on" is_passed_on "$(shaped HTTP/1.0%20200 Content-Length:4 body)" $'\r\n\r\nbody'
+
 expect "a target is ejected" wait_until 20 ejected
 sleep 6 # Several rounds of probes.
 expect "no probe with status 000 counts" equal "$(grep -c 'event=readmit_target.*target:i-2' "$work/entry-1.out")" 0
