Pass the length of a response on as one value

Callers saw: a target's answer with its lengths as they came: "Content-Length: 4,4", two lines with 4, or "004". The lengths agree, so the body was whole, but a caller that reads one number or one line cannot tell where it ends.

Cause: the parser reads such lengths as one (RFC 9112, 6.3), and the header's own fields were then written to the caller. A proxy must refuse them or replace them by one (RFC 9110, 8.6).

Ruled out: refusing them. What the target means is beyond doubt, and callers are better off with the answer. Lengths that disagree or are no numbers: the parser refuses them, the host answers 502; their tests stay.

Change: message_framing frames responses too, with the length that the parser read.

Tests: process_broken_answers.

--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -40,7 +40,7 @@
                     std::chrono::milliseconds{0});
 }
 
-std::optional<std::uint64_t> length_of(const caller_parser& parser)
+template <class Parser> std::optional<std::uint64_t> length_of(const Parser& parser)
 {
     const auto length = parser.content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
@@ -140,6 +140,7 @@
     auto& answer = parser.get();
     const bool has_no_length = parser.need_eof() && !answer.chunked();
     remove_connection_fields(answer, *w.context.profile);
+    set_framing(answer, length_of(parser));
     if (has_no_length) {
         answer.chunked(request.parser->get().version() >= 11);
     }
--- a/source/traffic/message_framing.cpp
+++ b/source/traffic/message_framing.cpp
@@ -155,4 +155,12 @@
     }
 }
 
+void set_framing(beast::http::response<beast::http::buffer_body>& response,
+                 std::optional<std::uint64_t> declared_bytes)
+{
+    if (declared_bytes) {
+        response.content_length(*declared_bytes);
+    }
+}
+
 } // namespace almondquay
--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -92,6 +92,17 @@
 expect "an answer in chunks is passed on" is_passed_on "$(shaped HTTP/1.1%20200 Transfer-Encoding:%20Chunked%20 "$chunks")" $'4\r\nbody\r\n0\r\n'
 expect "an answer in HTTP/1.0 is passed on" is_passed_on "$(shaped HTTP/1.0%20200 Content-Length:4 body)" $'\r\n\r\nbody'
 
+# Lengths that agree frame the body, but only one may be passed on (RFC 9110, 8.6).
+for lengths in 4,4 4%0D%0AContent-Length:4 004 "4,%204"; do
+    for method in GET HEAD; do
+        answer=$(shaped HTTP/1.1%20200 "Content-Length:$lengths" "$([ $method = GET ] && echo body)" view $method)
+        expect "$method: lengths '$lengths' are passed on as one" equal "$(grep -ai '^content-length' <<<"$answer")" $'Content-Length: 4\r'
+    done
+done
+for lengths in 4,5 4%0D%0AContent-Length:5 4, %2B4 -4 0x4 "4%204" "" 18446744073709551616; do
+    refused "length '$lengths'" HTTP/1.1%20200 "Content-Length:$lengths" body
+done
+
 expect "a target is ejected" wait_until 20 ejected
 sleep 6 # Several rounds of probes.
 expect "no probe with status 000 counts" equal "$(grep -c 'event=readmit_target.*target:i-2' "$work/entry-1.out")" 0
