Write nothing behind the head of a response without body

Callers saw: the bytes "0 CRLF CRLF", which are no answer, behind a target's answer to HEAD, with status 204 or 304, if its head named the coding "chunked". On a kept connection a caller takes them for the start of its next answer. With 204, a length was passed on as well, for a body that never comes.

Cause: such an answer ends with its head, whatever that says (RFC 9112, 6.3). The parser knows it; the serializer goes by the field in the head and ends a body in chunks that was never there.

Ruled out: refusing these answers. For HEAD and 304 the coding is allowed (RFC 9112, 6.1), and nothing is lost without it.

Change: set_framing removes the coding from responses that have no body, and the length from those with status 204.

Tests: process_broken_answers.

--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -140,7 +140,7 @@
     auto& answer = parser.get();
     const bool has_no_length = parser.need_eof() && !answer.chunked();
     remove_connection_fields(answer, *w.context.profile);
-    set_framing(answer, length_of(parser));
+    set_framing(answer, request.parser->get(), length_of(parser));
     if (has_no_length) {
         answer.chunked(request.parser->get().version() >= 11);
     }
--- a/source/traffic/message_framing.cpp
+++ b/source/traffic/message_framing.cpp
@@ -156,9 +156,16 @@
 }
 
 void set_framing(beast::http::response<beast::http::buffer_body>& response,
+                 const beast::http::request_header<beast::http::fields>& request,
                  std::optional<std::uint64_t> declared_bytes)
 {
-    if (declared_bytes) {
+    const bool has_content = response.result() != beast::http::status::no_content;
+    const bool has_body = request.method() != beast::http::verb::head && has_content &&
+                          response.result() != beast::http::status::not_modified;
+    if (!has_body) {
+        response.chunked(false);
+    }
+    if (declared_bytes && has_content) {
         response.content_length(*declared_bytes);
     }
 }
--- a/source/traffic/message_framing.h
+++ b/source/traffic/message_framing.h
@@ -31,9 +31,10 @@
 /// Frames a request anew, whatever its header says.
 void set_framing(beast::http::request<beast::http::buffer_body>& request, const body_size& body);
 
-/// Frames a target's response anew for the caller. `declared_bytes` is the length that the parser
-/// read from its header.
+/// Frames a target's response to `request` anew for the caller. `declared_bytes` is the length that
+/// the parser read from its header.
 void set_framing(beast::http::response<beast::http::buffer_body>& response,
+                 const beast::http::request_header<beast::http::fields>& request,
                  std::optional<std::uint64_t> declared_bytes);
 
 } // namespace almondquay
--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -103,6 +103,19 @@
     refused "length '$lengths'" HTTP/1.1%20200 "Content-Length:$lengths" body
 done
 
+# Answers that have no body, whatever their head says: no bytes follow their head.
+for shape in "HEAD HTTP/1.1%20200" "GET HTTP/1.1%20204" "POST HTTP/1.1%20204" "GET HTTP/1.1%20304"; do
+    read -r method start <<<"$shape"
+    path=$([ "$method" = POST ] && echo stamp || echo view)
+    for line in Transfer-Encoding:chunked Content-Length:4 ""; do
+        answer=$(shaped "$start" "$line" "" "$path" "$method")
+        expect "$shape with '$line' ends with its head" equal "${answer#*$'\r\n\r\n'}" "$answer"
+        expect "$shape with '$line' has no transfer coding" equal "$(grep -ai '^transfer-encoding' <<<"$answer")" ""
+    done
+done
+expect "an answer without content has no length" equal "$(shaped HTTP/1.1%20204 Content-Length:4 "" | grep -ai '^content-length')" ""
+expect "the answer to HEAD keeps its length" contains "$(shaped HTTP/1.1%20200 Content-Length:4 "" view HEAD)" $'\r\nContent-Length: 4\r\n'
+
 expect "a target is ejected" wait_until 20 ejected
 sleep 6 # Several rounds of probes.
 expect "no probe with status 000 counts" equal "$(grep -c 'event=readmit_target.*target:i-2' "$work/entry-1.out")" 0
