Frame responses for callers of HTTP/1.0 without chunks

Callers saw: in HTTP/1.0, which has no transfer codings (RFC 9112, 6.1), a target's body in chunks with the chunk framing in it, on a connection that stayed open.

Cause: only a body without any framing was framed for the caller; one in chunks was passed on as it came.

Change: set_framing decides the framing of each response anew from the request, the status and the length that the parser read, whatever the header says. A body that ends with the connection is broken off with a reset.

Tests: process_broken_answers; a table of requests, statuses and headers in message_framing_test.

--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -138,19 +138,14 @@
 void prepare_response(const worker& w, caller_request& request, upstream_parser& parser)
 {
     auto& answer = parser.get();
-    const bool has_no_length = parser.need_eof() && !answer.chunked();
     remove_connection_fields(answer, *w.context.profile);
-    set_framing(answer, request.parser->get(), length_of(parser));
-    if (has_no_length) {
-        answer.chunked(request.parser->get().version() >= 11);
-    }
+    const bool can_keep = set_framing(answer, request.parser->get(), length_of(parser));
     answer.version(11);
     if (w.context.profile->reports_outcome) {
         answer.set(outcome_header, name_of(outcome::ran));
         answer.set(result_header, "0");
         answer.set(host_header, w.context.host.value);
     }
-    const bool can_keep = !has_no_length || answer.chunked();
     request.keep_alive = can_keep && should_keep_alive(w, request);
     request.caller->closing = request.caller->closing || !request.keep_alive;
     answer.keep_alive(request.keep_alive);
@@ -170,9 +165,20 @@
     return end;
 }
 
+/// Closes the caller's connection in the middle of a response, without a proper end of the body, so
+/// that the caller detects the truncation. A body that ends with the connection needs a reset.
+void break_off(beast::tcp_stream& caller, const beast::http::response_header<>& answer)
+{
+    if (answer.count(beast::http::field::content_length) == 0 &&
+        answer.count(beast::http::field::transfer_encoding) == 0) {
+        error_code ignored;
+        caller.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    caller.close();
+}
+
 /// Sends the response header and `size` bytes of its body, then streams the rest. If the target's
-/// body is truncated, the caller's connection is closed without a proper end of the body, so that
-/// the caller detects the truncation.
+/// body is truncated, so is the caller's.
 asio::awaitable<void> stream_response(caller_request& request, upstream_connection& upstream,
                                       upstream_parser& parser, std::string& piece, std::size_t size,
                                       pacing rate, worker& w, forward_result& end)
@@ -201,7 +207,7 @@
         upstream.stream.expires_at(request.deadline);
         size = co_await read_piece(upstream, parser, piece, problem);
         if (problem) {
-            caller.close();
+            break_off(caller, parser.get());
             end.code = result_code::target_answer_lost;
             end.request_outcome = outcome::unknown;
             end.caller_usable = false;
--- a/source/traffic/message_framing.cpp
+++ b/source/traffic/message_framing.cpp
@@ -13,6 +13,8 @@
 
 using beast::http::field;
 
+constexpr unsigned first_version_with_codings = 11;
+
 constexpr auto connection_fields = std::to_array<field>({
     field::connection,
     field::keep_alive,
@@ -115,7 +117,6 @@
     if (codings.empty()) {
         return result_code::ok;
     }
-    constexpr unsigned first_version_with_codings = 11;
     if (lengths != 0 || head.version() < first_version_with_codings) {
         return result_code::request_malformed;
     }
@@ -155,19 +156,23 @@
     }
 }
 
-void set_framing(beast::http::response<beast::http::buffer_body>& response,
+bool set_framing(beast::http::response<beast::http::buffer_body>& response,
                  const beast::http::request_header<beast::http::fields>& request,
                  std::optional<std::uint64_t> declared_bytes)
 {
     const bool has_content = response.result() != beast::http::status::no_content;
     const bool has_body = request.method() != beast::http::verb::head && has_content &&
                           response.result() != beast::http::status::not_modified;
-    if (!has_body) {
-        response.chunked(false);
-    }
-    if (declared_bytes && has_content) {
+    const bool is_chunked =
+        has_body && !declared_bytes && request.version() >= first_version_with_codings;
+    response.erase(field::content_length);
+    response.erase(field::transfer_encoding);
+    if (is_chunked) {
+        response.chunked(true);
+    } else if (declared_bytes && has_content) {
         response.content_length(*declared_bytes);
     }
+    return !has_body || declared_bytes || is_chunked;
 }
 
 } // namespace almondquay
--- a/source/traffic/message_framing.h
+++ b/source/traffic/message_framing.h
@@ -32,8 +32,8 @@
 void set_framing(beast::http::request<beast::http::buffer_body>& request, const body_size& body);
 
 /// Frames a target's response to `request` anew for the caller. `declared_bytes` is the length that
-/// the parser read from its header.
-void set_framing(beast::http::response<beast::http::buffer_body>& response,
+/// the parser read from its header. Returns whether the body ends before the caller's connection.
+bool set_framing(beast::http::response<beast::http::buffer_body>& response,
                  const beast::http::request_header<beast::http::fields>& request,
                  std::optional<std::uint64_t> declared_bytes);
 
--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -116,6 +116,16 @@
 expect "an answer without content has no length" equal "$(shaped HTTP/1.1%20204 Content-Length:4 "" | grep -ai '^content-length')" ""
 expect "the answer to HEAD keeps its length" contains "$(shaped HTTP/1.1%20200 Content-Length:4 "" view HEAD)" $'\r\nContent-Length: 4\r\n'
 
+ask_1_0() { # path: a request in HTTP/1.0, which knows no chunks, on a connection that it wants to keep
+    printf 'GET %s HTTP/1.0\r\nHost: a.example\r\nX-Request-Id: id-%s\r\nConnection: keep-alive\r\n\r\n' "$1" "$RANDOM" | raw 127.0.1.1:7000 3
+}
+answer=$(ask_1_0 "/view/a?fault=shaped&line=Transfer-Encoding:chunked&body=$chunks")
+expect "a body in chunks reaches a caller of HTTP/1.0 without them" equal "${answer#*$'\r\n\r\n'}" body
+expect "its end is the end of the connection" contains "$answer" $'\r\nConnection: close\r\n'
+expect "it has no transfer coding" equal "$(grep -ai '^transfer-encoding' <<<"$answer")" ""
+answer=$(ask_1_0 "/view/a?fault=shaped&line=Transfer-Encoding:chunked&body=fffff%0D%0A&bytes=200000" 2>&1 | tail -c 100)
+expect "one that ends early does not look complete" contains "$answer" reset
+
 expect "a target is ejected" wait_until 20 ejected
 sleep 6 # Several rounds of probes.
 expect "no probe with status 000 counts" equal "$(grep -c 'event=readmit_target.*target:i-2' "$work/entry-1.out")" 0
--- a/unit_tests/traffic/message_framing_test.cpp
+++ b/unit_tests/traffic/message_framing_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(ambiguous_framing_is_refused);
     CPPUNIT_TEST(fields_of_the_message_stay);
     CPPUNIT_TEST(whatever_is_let_through_is_written_as_one_request);
+    CPPUNIT_TEST(responses_are_framed_anew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,50 @@
         }
         CPPUNIT_ASSERT(let_through > messages / 10);
     }
+
+    void responses_are_framed_anew()
+    {
+        struct shape {
+            std::string request;
+            unsigned status = 0;
+            std::optional<std::uint64_t> declared_bytes;
+            std::string expected;
+            bool ends_before_connection = true;
+        };
+        const std::string chunked = "Transfer-Encoding: chunked\r\n";
+        const std::vector<shape> shapes{{"GET / HTTP/1.1", 200, 5, "Content-Length: 5\r\n"},
+                                        {"GET / HTTP/1.1", 200, 0, "Content-Length: 0\r\n"},
+                                        {"GET / HTTP/1.1", 200, {}, chunked},
+                                        {"GET / HTTP/1.1", 503, {}, chunked},
+                                        {"GET / HTTP/1.0", 200, 5, "Content-Length: 5\r\n"},
+                                        {"GET / HTTP/1.0", 200, {}, "", false},
+                                        {"GET / HTTP/1.0", 204, {}, ""},
+                                        {"GET / HTTP/1.1", 204, 5, ""},
+                                        {"GET / HTTP/1.1", 204, {}, ""},
+                                        {"GET / HTTP/1.1", 304, 5, "Content-Length: 5\r\n"},
+                                        {"GET / HTTP/1.1", 304, {}, ""},
+                                        {"HEAD / HTTP/1.1", 200, 5, "Content-Length: 5\r\n"},
+                                        {"HEAD / HTTP/1.1", 200, {}, ""},
+                                        {"HEAD / HTTP/1.0", 200, {}, ""}};
+        for (const auto& s : shapes) {
+            text_parser request;
+            CPPUNIT_ASSERT(parse(request, s.request + "\r\nHost: a\r\n\r\n") != 0);
+            for (const auto* field : {"", "Transfer-Encoding", "Content-Length"}) {
+                http::response<http::buffer_body> answer(http::int_to_status(s.status), 11);
+                if (*field != '\0') {
+                    answer.insert(field, *field == 'T' ? "chunked" : "5");
+                    answer.insert(field, *field == 'T' ? "chunked" : "5");
+                }
+                const bool ends = set_framing(answer, request.get(), s.declared_bytes);
+                std::ostringstream written;
+                written << answer.base();
+                const auto text = written.str();
+                const auto fields = text.substr(text.find("\r\n") + 2);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(s.request + field, s.expected + "\r\n", fields);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(s.request + field, s.ends_before_connection, ends);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(message_framing_test);
