Keep trailers out of the header of a response

Callers saw: fields that a target sent behind a body in chunks as fields of the answer's head: a second X-Response-Seal, and whatever else stood there, with folded lines joined.

Cause: the parser adds trailers to the fields of the header, and a body that arrives with its header is read before the header is written to the caller. http::client read the headers after the body as well.

Ruled out: passing trailers on behind the body. A caller that wants them would have to say so (RFC 9110, 6.5.1).

Change: the header is kept as it was read before the body; trailers are dropped.

Tests: process_broken_answers, client_test.

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -24,7 +24,6 @@
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
 using beast_request = beast::http::request<beast::http::string_body>;
-using beast_response = beast::http::response<beast::http::string_body>;
 
 constexpr std::size_t max_idle_per_endpoint = 8;
 /// Connections idle for longer are not reused; the peer may have dropped them.
@@ -81,14 +80,14 @@
     return message;
 }
 
-response from_beast(beast_response&& message)
+/// The response without its body.
+response from_beast(const beast::http::response_header<>& header)
 {
     response r;
-    r.status = message.result_int();
-    for (const auto& f : message) {
+    r.status = header.result_int();
+    for (const auto& f : header) {
         r.headers.push_back({std::string(f.name_string()), std::string(f.value())});
     }
-    r.body = std::move(message.body());
     return r;
 }
 
@@ -118,13 +117,17 @@
     if (!a.problem) {
         a.problem = check_response(parser.get(), header);
     }
-    if (!a.problem) {
-        co_await beast::http::async_read(stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, a.problem));
+    if (a.problem) {
+        co_return a;
     }
+    // Taken before the body, as the parser adds trailers to the header.
+    auto answer = from_beast(parser.get());
+    co_await beast::http::async_read(stream, buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, a.problem));
     if (!a.problem) {
         a.keep_alive = parser.get().keep_alive() && buffer.size() == 0;
-        a.answer = from_beast(parser.release());
+        answer.body = std::move(parser.get().body());
+        a.answer = std::move(answer);
     }
     co_return a;
 }
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -224,6 +224,8 @@
 {
     const auto length = parser.content_length().value_or(body_piece_bytes);
     std::string piece(std::min<std::uint64_t>(length, body_piece_bytes), '\0');
+    // The parser would add the trailers behind a body in chunks to the header.
+    const auto header = parser.chunked() ? std::optional(parser.get().base()) : std::nullopt;
     error_code problem;
     std::size_t size = 0;
     while (!parser.is_done() && size < piece.size() && !problem) {
@@ -241,6 +243,9 @@
     if (problem) {
         co_return lost_result(request, result_code::target_answer_lost);
     }
+    if (header) {
+        parser.get().base() = *header;
+    }
     const bool is_due = co_await wait_for_turn(*request.caller, request.turn);
     if (!is_due) {
         co_return forward_result{result_code::caller_gone, outcome::ran, false, false, {}};
--- a/unit_tests/http/client_test.cpp
+++ b/unit_tests/http/client_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(a_damaged_field_name_is_refused);
     CPPUNIT_TEST(a_folded_line_is_refused);
     CPPUNIT_TEST(transfer_codings_other_than_chunked_are_refused);
+    CPPUNIT_TEST(trailers_do_not_join_the_header);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +145,17 @@
             CPPUNIT_ASSERT_EQUAL(std::string("body"), value_of(got).body);
         }
     }
+
+    void trailers_do_not_join_the_header()
+    {
+        const auto got =
+            received("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nETag: \"1\"\r\n\r\n"
+                     "4\r\nbody\r\n0\r\nETag: \"2\"\r\nX-Other: 1\r\n\r\n");
+        CPPUNIT_ASSERT(succeeded(got));
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), value_of(got).body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, value_of(got).headers.size());
+        CPPUNIT_ASSERT(header_of(value_of(got).headers, "ETag") == "\"1\"");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(client_test);
--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -126,6 +126,11 @@
 answer=$(ask_1_0 "/view/a?fault=shaped&line=Transfer-Encoding:chunked&body=fffff%0D%0A&bytes=200000" 2>&1 | tail -c 100)
 expect "one that ends early does not look complete" contains "$answer" reset
 
+# Fields behind a body in chunks belong to the body, not to the head (RFC 9110, 6.5.1).
+answer=$(shaped HTTP/1.1%20200 Transfer-Encoding:chunked "4%0D%0Abody%0D%0A0%0D%0AX-Response-Seal:t%0D%0AX-Other:1%0D%0A%20X:2%0D%0A%0D%0A")
+expect "the head is the target's" equal "$(grep -ai '^x-response-seal\|^x-other' <<<"$answer")" $'X-Response-Seal: s\r'
+expect "the body in front of trailers is passed on" contains "$answer" $'\r\n\r\n4\r\nbody\r\n0\r\n'
+
 expect "a target is ejected" wait_until 20 ejected
 sleep 6 # Several rounds of probes.
 expect "no probe with status 000 counts" equal "$(grep -c 'event=readmit_target.*target:i-2' "$work/entry-1.out")" 0
