Wait for the final response in http::client

What happened: a health probe answered "103 Early Hints" and then 503 counted as a good one; the store, a peer or the operators' tool got 103 as the answer. Nothing of it reached a caller directly, but the final response then was the answer to the next request on the connection, if it arrived later.

Cause: http::client took the first response for the final one. The exchange with a target has dropped interim responses for long, in code of its own.

Evidence: client_test on the code before: 103 where 503 is expected; after: all met.

Change: http::read_response_header reads, checks and drops interim responses for both.

Tests: client_test; process_broken_answers for the exchange with a target, which does what it did.

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -1,6 +1,6 @@
 #include "http/client.h"
 
-#include "http/response_check.h"
+#include "http/response_reader.h"
 
 #include <map>
 #include <optional>
@@ -24,6 +24,7 @@
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
 using beast_request = beast::http::request<beast::http::string_body>;
+using response_parser = beast::http::response_parser<beast::http::string_body>;
 
 constexpr std::size_t max_idle_per_endpoint = 8;
 /// Connections idle for longer are not reused; the peer may have dropped them.
@@ -109,24 +110,21 @@
         co_return a;
     }
     beast::flat_buffer buffer(max_message_buffer_bytes);
-    beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(max_response_bytes);
-    response_header_buffer header(buffer);
-    co_await beast::http::async_read_header(stream, header, parser,
-                                            asio::redirect_error(asio::use_awaitable, a.problem));
-    if (!a.problem) {
-        a.problem = check_response(parser.get(), header);
-    }
+    std::optional<response_parser> parser;
+    const auto configure = [max_response_bytes](response_parser& p) {
+        p.body_limit(max_response_bytes);
+    };
+    co_await read_response_header(stream, buffer, parser, configure, a.problem);
     if (a.problem) {
         co_return a;
     }
     // Taken before the body, as the parser adds trailers to the header.
-    auto answer = from_beast(parser.get());
-    co_await beast::http::async_read(stream, buffer, parser,
+    auto answer = from_beast(parser->get());
+    co_await beast::http::async_read(stream, buffer, *parser,
                                      asio::redirect_error(asio::use_awaitable, a.problem));
     if (!a.problem) {
-        a.keep_alive = parser.get().keep_alive() && buffer.size() == 0;
-        answer.body = std::move(parser.get().body());
+        a.keep_alive = parser->get().keep_alive() && buffer.size() == 0;
+        answer.body = std::move(parser->get().body());
         a.answer = std::move(answer);
     }
     co_return a;
--- a/source/http/response_check.cpp
+++ b/source/http/response_check.cpp
@@ -14,6 +14,7 @@
 
 /// The valid status codes (RFC 9110, 15).
 constexpr unsigned lowest_status = 100;
+constexpr unsigned first_final_status = 200;
 constexpr unsigned highest_status = 599;
 constexpr unsigned first_version_with_codings = 11;
 
@@ -57,4 +58,9 @@
     return {};
 }
 
+bool is_interim(const beast::http::response_header<>& head)
+{
+    return head.result_int() < first_final_status;
+}
+
 } // namespace almondquay::http
--- a/source/http/response_check.h
+++ b/source/http/response_check.h
@@ -39,4 +39,7 @@
 boost::beast::error_code check_response(const boost::beast::http::response_header<>& head,
                                         const response_header_buffer& source);
 
+/// Whether a final response follows (RFC 9110, 15.2).
+bool is_interim(const boost::beast::http::response_header<>& head);
+
 } // namespace almondquay::http
--- a/source/traffic/exchange.cpp
+++ b/source/traffic/exchange.cpp
@@ -1,6 +1,6 @@
 #include "traffic/exchange.h"
 
-#include "http/response_check.h"
+#include "http/response_reader.h"
 #include "traffic/caller_reader.h"
 #include "traffic/message_framing.h"
 #include "traffic/request_log.h"
@@ -25,11 +25,6 @@
 /// A new connection may be dead if its response takes longer than the service's slowest recent
 /// response time multiplied by this.
 constexpr double slowest_response_factor = 3;
-/// Maximum number of interim (1xx) responses before the final one; with more of them the response
-/// counts as malformed.
-constexpr unsigned max_interim_responses = 16;
-constexpr unsigned informational = 100;
-constexpr unsigned first_final_status = 200;
 constexpr unsigned first_server_error = 500;
 constexpr unsigned status_wrong_target = 421;
 
@@ -328,36 +323,6 @@
     return is_likely_lost(w, request, used, part) ? now + part : request.deadline;
 }
 
-bool is_interim(const upstream_parser& parser)
-{
-    const auto status = parser.get().result_int();
-    return status >= informational && status < first_final_status;
-}
-
-/// Reads the header of the final response; a few interim responses before it are dropped.
-asio::awaitable<void> read_response_header(const caller_request& request,
-                                           upstream_connection& upstream,
-                                           std::optional<upstream_parser>& parser,
-                                           error_code& problem)
-{
-    for (unsigned interim = 0; interim <= max_interim_responses; ++interim) {
-        parser.emplace();
-        parser->header_limit(max_answer_header_bytes);
-        parser->body_limit(boost::none);
-        parser->skip(request.parser->get().method() == beast::http::verb::head);
-        http::response_header_buffer header(upstream.buffer);
-        co_await beast::http::async_read_header(upstream.stream, header, *parser,
-                                                redirect_error_to(problem));
-        if (!problem) {
-            problem = http::check_response(parser->get(), header);
-        }
-        if (problem || !is_interim(*parser)) {
-            co_return;
-        }
-    }
-    problem = beast::http::error::header_limit;
-}
-
 /// Whether the response carries the ID of another request.
 bool belongs_to_other_request(const worker& w, const caller_request& request,
                               const upstream_parser& parser)
@@ -471,7 +436,13 @@
     co_await send_request(w, used, *upstream, request, problem);
     std::optional<upstream_parser> parser;
     if (!problem) {
-        co_await read_response_header(request, *upstream, parser, problem);
+        const auto configure = [&request](upstream_parser& p) {
+            p.header_limit(max_answer_header_bytes);
+            p.body_limit(boost::none);
+            p.skip(request.parser->get().method() == beast::http::verb::head);
+        };
+        co_await http::read_response_header(upstream->stream, upstream->buffer, parser, configure,
+                                            problem);
     }
     if (request.caller->gone && request.repeatable) {
         request.upstream.reset();
--- a/unit_tests/http/client_test.cpp
+++ b/unit_tests/http/client_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(a_folded_line_is_refused);
     CPPUNIT_TEST(transfer_codings_other_than_chunked_are_refused);
     CPPUNIT_TEST(trailers_do_not_join_the_header);
+    CPPUNIT_TEST(interim_responses_are_not_the_answer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +157,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, value_of(got).headers.size());
         CPPUNIT_ASSERT(header_of(value_of(got).headers, "ETag") == "\"1\"");
     }
+
+    void interim_responses_are_not_the_answer()
+    {
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-Other: 1\r\n\r\n";
+        const std::string last = "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbody";
+        for (const auto& text :
+             {interim + last, "HTTP/1.1 100 Continue\r\n\r\n" + interim + last}) {
+            const auto got = received(text);
+            CPPUNIT_ASSERT_MESSAGE(text, succeeded(got));
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, value_of(got).status);
+            CPPUNIT_ASSERT_EQUAL(std::string("body"), value_of(got).body);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, value_of(got).headers.size());
+        }
+        std::string many;
+        for (int i = 0; i < 100; ++i) {
+            many += interim;
+        }
+        assert_refused(many + last);
+        assert_refused(interim + "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(client_test);
