Refuse responses that switch to another protocol

Callers saw: what a target sent behind "101 Switching Protocols" as the answer to their request, if it looked like one; otherwise the connection was watched until the deadline. The host asks for no other protocol: it removes Upgrade.

Cause: 101 was dropped like the interim responses, but what follows it is not HTTP (RFC 9110, 15.2.2).

Evidence: process_broken_answers on the code before: 2 of 268 expectations fail; client_test takes the bytes behind 101 for the response. After: all met.

Change: check_response refuses status 101.

Tests: process_broken_answers, client_test.

--- a/source/http/response_check.cpp
+++ b/source/http/response_check.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned lowest_status = 100;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned highest_status = 599;
+constexpr unsigned switching_protocols = 101; ///< never asked for
 constexpr unsigned first_version_with_codings = 11;
 
 /// Whether the body ends where the parser looks for its end. No other coding is ever asked for, so
@@ -44,7 +45,7 @@
                                  const response_header_buffer& source)
 {
     const auto status = head.result_int();
-    if (status < lowest_status || status > highest_status) {
+    if (status < lowest_status || status > highest_status || status == switching_protocols) {
         return beast::http::error::bad_status;
     }
     // A proxy may refuse folded lines (RFC 9112, 5.2). Joined, a line of which the name was damaged
--- a/unit_tests/http/client_test.cpp
+++ b/unit_tests/http/client_test.cpp
@@ -90,6 +90,8 @@
         for (const auto* status : {"000", "001", "099", "600", "999"}) {
             assert_refused("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n");
         }
+        assert_refused("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         for (const auto* status : {"200", "299", "404", "599"}) {
             const auto got =
                 received("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n");
--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -56,6 +56,8 @@
     refused "status $status, body until close" "HTTP/1.1%20$status" "" body
     refused "status $status after an interim answer" "HTTP/1.1%20103%20Early%0D%0A%0D%0AHTTP/1.1%20$status" Content-Length:4 body
 done
+# The host asks no target to switch to another protocol, so what follows is no answer.
+refused "status 101" "HTTP/1.1%20101%20Switching%0D%0AUpgrade:other%0D%0A%0D%0AHTTP/1.1%20200" Content-Length:4 body
 expect "status 599 is the target's answer" is_passed_on "$(shaped HTTP/1.1%20599 Content-Length:4 body stamp POST)" "HTTP/1.1 599 "
 
 # A blank, a control byte or a byte beyond ASCII in the name of a field, at its start, inside and before the colon.
