--- a/unit_tests/processes/broken_answers.sh
+++ b/unit_tests/processes/broken_answers.sh
@@ -9,6 +9,9 @@
     printf '%s %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-%s\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' \
         "${2:-GET}" "$1" "$RANDOM" | raw 127.0.1.1:7000 3 | tr -d '\0'
 }
+ask_1_0() { # path: a request in HTTP/1.0 on a connection that the caller wants to keep
+    printf 'GET %s HTTP/1.0\r\nHost: a.example\r\nX-Request-Id: id-%s\r\nConnection: keep-alive\r\n\r\n' "$1" "$RANDOM" | raw 127.0.1.1:7000 3
+}
 served() { contains "$(ask /view/a)" "HTTP/1.1 200 OK"; }
 shaped() { # start line body [path] [method]: the answer to a request that the target answers in this shape
     local answer
@@ -118,9 +121,7 @@
 expect "an answer without content has no length" equal "$(shaped HTTP/1.1%20204 Content-Length:4 "" | grep -ai '^content-length')" ""
 expect "the answer to HEAD keeps its length" contains "$(shaped HTTP/1.1%20200 Content-Length:4 "" view HEAD)" $'\r\nContent-Length: 4\r\n'
 
-ask_1_0() { # path: a request in HTTP/1.0, which knows no chunks, on a connection that it wants to keep
-    printf 'GET %s HTTP/1.0\r\nHost: a.example\r\nX-Request-Id: id-%s\r\nConnection: keep-alive\r\n\r\n' "$1" "$RANDOM" | raw 127.0.1.1:7000 3
-}
+# HTTP/1.0 knows no chunks.
 answer=$(ask_1_0 "/view/a?fault=shaped&line=Transfer-Encoding:chunked&body=$chunks")
 expect "a body in chunks reaches a caller of HTTP/1.0 without them" equal "${answer#*$'\r\n\r\n'}" body
 expect "its end is the end of the connection" contains "$answer" $'\r\nConnection: close\r\n'
