--- a/review/stand-ins-2/http_text.h
+++ b/review/stand-ins-2/http_text.h
@@ -160,6 +160,18 @@
         }
         return {};
     }
+    /// The lines of a name that occurs several times, joined as RFC 9110, 5.2 says.
+    [[nodiscard]] std::string combined(std::string_view name) const
+    {
+        std::string all;
+        for (const auto& [key, value] : headers) {
+            if (key.size() == name.size() &&
+                ::strncasecmp(key.data(), name.data(), name.size()) == 0) {
+                all += (all.empty() ? "" : ", ") + value;
+            }
+        }
+        return all;
+    }
     [[nodiscard]] std::string word(std::size_t index) const
     {
         std::size_t at = 0;
--- a/review/stand-ins-2/lib.sh
+++ b/review/stand-ins-2/lib.sh
@@ -60,9 +60,9 @@
     request "$store" "$1" "/-/objects/$2" "{\"spec\":$3}" | grep -q '^HTTP/1.1 200'
 }
 
-route() { # name prefix kind service [timeout_s]
-    printf '{"name":"%s","host":"ficu95.example","path_prefix":"%s","kind":"%s","timeout_s":%s,"target_latency_s":0.4,"priority":2,"service":"%s","max_attempts":2,"sticky":false,"home_regions":[]}' \
-        "$1" "$2" "$3" "${5:-3}" "$4"
+route() { # name prefix kind service [timeout_s [sticky]]
+    printf '{"name":"%s","host":"ficu95.example","path_prefix":"%s","kind":"%s","timeout_s":%s,"target_latency_s":0.4,"priority":2,"service":"%s","max_attempts":2,"sticky":%s,"home_regions":[]}' \
+        "$1" "$2" "$3" "${5:-3}" "$4" "${6:-false}"
 }
 
 manifest() { # version route...: the operator puts a manifest
--- a/review/stand-ins-2/server.cpp
+++ b/review/stand-ins-2/server.cpp
@@ -95,7 +95,7 @@
 {
     const auto method = request.word(0);
     const auto target = request.word(1);
-    const auto id = request.header("X-Request-Id");
+    const auto id = request.combined("X-Request-Id");
     const auto common = "X-Request-Id: " + id + "\r\nX-Server-Load: " + load(s) + "\r\n";
     if (target == "/health") {
         return send_all(in.fd, "HTTP/1.1 200 OK\r\nX-Instance-Id: " + s.id +
