--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -22,7 +22,7 @@
 request "$store" POST /control/copy "" >/dev/null
 for n in 13 14; do start_server $n wuno96b --cold-s 3; done # Servers are added (scale_out).
 sleep 8
-if [ "$trouble" = 1 ]; then
+if [ "${TROUBLE:-1}" = 1 ]; then
     request "$store" POST "/control/drill?away_ms=300&silent=1" "" >/dev/null
     sleep 0.2
 fi
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -20,7 +20,7 @@
 }
 ask before 20
 began=$(now_ms)
-if [ "$trouble" = 1 ]; then
+if [ "${TROUBLE:-1}" = 1 ]; then
     for n in "${hosts[@]}"; do kill -KILL "$(pid_of host-$n)"; done
     note "all hosts lose power"
     sleep 0.5
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -16,7 +16,7 @@
         --gap-ms 80 --target /lohu930/2f || give_up "the client cannot run"
 }
 ask before 3
-if [ "$trouble" = 1 ]; then
+if [ "${TROUBLE:-1}" = 1 ]; then
     request "$store" POST "/control/away?ms=4500" "" &
     sleep 0.2
     kill -KILL "$(pid_of host-1)" "$(pid_of host-2)"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -18,7 +18,7 @@
     case $answer in *"$(front 6)"*) [[ $answer == *"$(front "$1")"* ]] ;; *) false ;; esac
 }
 look_up 3 || give_up "the directory does not name host 6 while it runs"
-if [ "$trouble" = 1 ]; then
+if [ "${TROUBLE:-1}" = 1 ]; then
     kill -KILL "$(pid_of host-6)"
     note "host 6 is killed and does not come back"
     sleep 6.2 # contact_s + 3 s
--- a/review/stand-ins-2/lib.sh
+++ b/review/stand-ins-2/lib.sh
@@ -5,7 +5,6 @@
 root=$(cd "$here/../.." && pwd)
 stand_ins=$root/target/review-2
 daemon=$root/target/source/almondquayd/almondquayd
-trouble=${TROUBLE:-1}
 record=$here/record.txt
 work=$(mktemp -d) || exit 2
 pids=()
