--- a/source/almondquayd/interpreter.cpp
+++ b/source/almondquayd/interpreter.cpp
@@ -78,16 +78,16 @@
                 {"since", std::to_string(e.query.since.value)},
                 {"follow", e.query.follow ? "yes" : "no"},
                 {"wait_ms", std::to_string(e.query.wait.count())}});
-    i.store->query_inventory(e.query,
-                             [emit = i.emit, query = e.query](result<inventory_page> page) {
-                                 emit(inventory_read_event{query, std::move(page)});
-                             });
+    i.store->query_inventory(e.query, [emit = i.emit, query = e.query](result<inventory_page> page,
+                                                                       const era_statement& era) {
+        emit(inventory_read_event{query, std::move(page), era});
+    });
 }
 
 void run(interpreter& i, const register_host_effect& e)
 {
-    i.store->register_host(e.self, [emit = i.emit](result<done> outcome) {
-        emit(host_registered_event{std::move(outcome)});
+    i.store->register_host(e.self, [emit = i.emit](result<done> outcome, const era_statement& era) {
+        emit(host_registered_event{std::move(outcome), era});
     });
 }
 
--- a/source/common/strong_type.h
+++ b/source/common/strong_type.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -31,14 +32,29 @@
 using generation = strong_type<struct generation_tag, std::uint64_t>;
 /// Distinguishes successive runs of a host or target under the same name and address.
 using incarnation = strong_type<struct incarnation_tag, std::uint64_t>;
-/// The store's change counter, shared by all its objects.
-using store_revision = strong_type<struct store_revision_tag, std::uint64_t>;
+/// Counts the returns of the store from an older copy of itself; nothing if the store has not
+/// stated it.
+using store_era = strong_type<struct store_era_tag, std::optional<std::uint64_t>>;
 
 /// Number of requests that a target serves concurrently.
 using slot_count = strong_type<struct slot_tag, std::uint32_t>;
 using megabits_per_second = strong_type<struct megabits_tag, double>;
 using percent = strong_type<struct percent_tag, double>;
 
+/// A point in the history of the store, whose change counter is shared by all its objects. A store
+/// that returns from an older copy counts from there again, so that a number names a change only
+/// together with its era.
+struct store_revision {
+    store_era era;
+    std::uint64_t value = 0;
+
+    store_revision() = default;
+    explicit store_revision(std::uint64_t number, store_era in = {}) : era(in), value(number) {}
+
+    auto operator<=>(const store_revision&) const = default;
+    bool operator==(const store_revision&) const = default;
+};
+
 } // namespace almondquay
 
 template <class Tag, class T> struct std::hash<almondquay::strong_type<Tag, T>> {
--- a/source/control/event.h
+++ b/source/control/event.h
@@ -41,11 +41,13 @@
 struct inventory_read_event {
     inventory_query query;
     result<inventory_page> page;
+    era_statement era{}; ///< as the answer states it, also that of a refusal
 };
 
 /// The registration of this host in the store completed.
 struct host_registered_event {
     result<done> outcome;
+    era_statement era{};
 };
 
 /// A request for a peer's copy of the inventory succeeded or failed.
--- a/source/control/inventory_items.cpp
+++ b/source/control/inventory_items.cpp
@@ -3,6 +3,9 @@
 #include "control/decisions.h"
 #include "control/fleet_adoption.h"
 #include "control/inventory_sync.h"
+#include "control/store_era.h"
+
+#include <algorithm>
 
 namespace almondquay {
 
@@ -33,10 +36,14 @@
 void remove_target(control_state& state, const event& e, const target_id& id,
                    const std::string& rule, effects& out)
 {
-    state.inventory.missing.erase(id);
-    if (state.inventory.targets.erase(id) == 0) {
+    missing_of(state.inventory, inventory_kind::targets).erase(id.value);
+    const auto found = state.inventory.targets.find(id);
+    if (found == state.inventory.targets.end()) {
         return;
     }
+    state.inventory.departed.insert_or_assign(
+        id, departed_target{found->second.entry.definition.life, e.now});
+    state.inventory.targets.erase(found);
     state.targets.erase(id);
     state.snapshot_is_stale = true;
     decide(
@@ -63,8 +70,9 @@
     if (!was_away || (state.fleet.platform_reachable && e.now >= latest)) {
         remove_target(state, e, id, "its entry was deleted", out);
     } else if (inventory.targets.contains(id)) {
-        inventory.missing.try_emplace(
-            id, state.fleet.platform_reachable ? latest : e.now + reregistration_time);
+        missing_of(inventory, inventory_kind::targets)
+            .try_emplace(id.value,
+                         state.fleet.platform_reachable ? latest : e.now + reregistration_time);
     }
 }
 
@@ -94,6 +102,21 @@
     }
 }
 
+bool is_known(const inventory_state& inventory, inventory_kind kind, const std::string& name)
+{
+    switch (kind) {
+    case inventory_kind::configuration:
+        return false;
+    case inventory_kind::targets:
+        return inventory.targets.contains(target_id(name));
+    case inventory_kind::evacuations:
+        return inventory.evacuated.contains(failure_domain_id(name));
+    case inventory_kind::hosts:
+        return inventory.hosts.contains(host_id(name));
+    }
+    return false;
+}
+
 /// Handles an entry that was deleted or can no longer be read.
 void handle_absent_entry(control_state& state, const event& e, inventory_kind kind,
                          const std::string& name, effects& out)
@@ -113,6 +136,38 @@
     }
 }
 
+/// Handles an entry that is missing from a list that was read completely. After the return of the
+/// store from an older copy it may only be missing there.
+void handle_unlisted_entry(control_state& state, const event& e, inventory_kind kind,
+                           const std::string& name, effects& out)
+{
+    const auto until = may_return_until(state, kind, e.now);
+    if (until && is_known(state.inventory, kind, name)) {
+        missing_of(state.inventory, kind).try_emplace(name, *until);
+    } else {
+        handle_absent_entry(state, e, kind, name, out);
+    }
+}
+
+/// Whether the target was removed and the store's copy may list it all the same.
+bool has_departed(const control_state& state, const target& t, monotonic_time now)
+{
+    const auto found = state.inventory.departed.find(t.id);
+    return found != state.inventory.departed.end() && t.life <= found->second.life &&
+           may_be_outdated(state, now);
+}
+
+/// A target does not take back that it leaves, and the store's copy may know it as warm that has
+/// turned cold since.
+registered_target newer_of(const listed_target& known, registered_target entry, monotonic_time now)
+{
+    const auto cold_left = known.cold_until - now;
+    entry.definition.leaving = entry.definition.leaving || known.entry.definition.leaving;
+    entry.cold_left =
+        std::max(entry.cold_left, std::chrono::duration_cast<std::chrono::milliseconds>(cold_left));
+    return entry;
+}
+
 } // namespace
 
 void confirm_list(inventory_list& list, monotonic_time at)
@@ -123,12 +178,11 @@
     list.confirmed = std::max(list.confirmed, at);
 }
 
-void apply_target(control_state& state, const event& e, const registered_target& entry,
-                  effects& out)
+void apply_target(control_state& state, const event& e, registered_target entry, effects& out)
 {
     auto& inventory = state.inventory;
-    const auto& id = entry.definition.id;
-    inventory.missing.erase(id);
+    const auto id = entry.definition.id;
+    missing_of(inventory, inventory_kind::targets).erase(id.value);
     const auto found = inventory.targets.find(id);
     const bool is_new = found == inventory.targets.end();
     const bool is_restarted =
@@ -137,10 +191,18 @@
     if (is_older) {
         return;
     }
+    if (!is_new && !is_restarted && may_be_outdated(state, e.now)) {
+        entry = newer_of(found->second, std::move(entry), e.now);
+    }
     if (is_restarted) {
         state.targets.erase(id); // The recorded health is that of its previous incarnation.
     }
     auto& listed = inventory.targets[id];
+    if (is_new && has_departed(state, entry.definition, e.now)) {
+        listed.unused_until = inventory.era_began + reregistration_time;
+    } else if (is_restarted) {
+        listed.unused_until = {};
+    }
     const bool turns_cold = entry.cold_left.count() != 0 && listed.cold_until <= e.now;
     const bool is_changed = is_new || !(listed.entry.definition == entry.definition) || turns_cold;
     const auto cold_until = e.now + entry.cold_left;
@@ -166,6 +228,7 @@
 void update_evacuation(control_state& state, const event& e, const failure_domain_id& domain,
                        bool begins, effects& out)
 {
+    missing_of(state.inventory, inventory_kind::evacuations).erase(domain.value);
     auto& evacuated = state.inventory.evacuated;
     const bool changed = begins ? evacuated.insert(domain).second : evacuated.erase(domain) != 0;
     if (!changed) {
@@ -191,6 +254,7 @@
 
 void apply_host(control_state& state, const host& h)
 {
+    missing_of(state.inventory, inventory_kind::hosts).erase(h.id.value);
     auto& known = state.inventory.hosts[h.id];
     if (!(known == h)) {
         known = h;
@@ -226,15 +290,14 @@
 void apply_removal(control_state& state, const event& e, inventory_kind kind,
                    const std::string& name, std::chrono::milliseconds grace_left, effects& out)
 {
-    if (kind != inventory_kind::targets) {
+    if (grace_left.count() != 0) {
+        if (is_known(state.inventory, kind, name)) {
+            missing_of(state.inventory, kind).try_emplace(name, e.now + grace_left);
+        }
+    } else if (kind == inventory_kind::targets) {
+        remove_target(state, e, target_id(name), "its entry was deleted", out);
+    } else {
         handle_absent_entry(state, e, kind, name, out);
-        return;
-    }
-    const target_id id(name);
-    if (grace_left.count() == 0) {
-        remove_target(state, e, id, "its entry was deleted", out);
-    } else if (state.inventory.targets.contains(id)) {
-        state.inventory.missing.try_emplace(id, e.now + grace_left);
     }
 }
 
@@ -257,22 +320,47 @@
         collect(state.inventory.hosts, [](const auto& entry) { return entry.first.value; });
     }
     for (const auto& name : gone) {
-        handle_absent_entry(state, e, kind, name, out);
+        handle_unlisted_entry(state, e, kind, name, out);
     }
     return gone.size();
 }
 
-void remove_expired_targets(control_state& state, const event& e, effects& out)
+namespace {
+
+std::vector<std::string> take_expired(std::map<std::string, monotonic_time>& missing,
+                                      monotonic_time now)
 {
-    std::vector<target_id> expired;
-    for (const auto& [id, at] : state.inventory.missing) {
-        if (e.now >= at) {
-            expired.push_back(id);
+    std::vector<std::string> expired;
+    std::erase_if(missing, [&](const auto& entry) {
+        const bool is_expired = now >= entry.second;
+        if (is_expired) {
+            expired.push_back(entry.first);
         }
+        return is_expired;
+    });
+    return expired;
+}
+
+} // namespace
+
+void remove_expired_entries(control_state& state, const event& e, effects& out)
+{
+    auto& inventory = state.inventory;
+    for (const auto& name : take_expired(missing_of(inventory, inventory_kind::targets), e.now)) {
+        remove_target(state, e, target_id(name), "it did not register again after an outage", out);
     }
-    for (const auto& id : expired) {
-        remove_target(state, e, id, "it did not register again after an outage", out);
+    for (const auto kind : {inventory_kind::evacuations, inventory_kind::hosts}) {
+        for (const auto& name : take_expired(missing_of(inventory, kind), e.now)) {
+            handle_absent_entry(state, e, kind, name, out);
+        }
     }
+    std::erase_if(inventory.departed,
+                  [&](const auto& entry) { return e.now - entry.second.at >= departed_retention; });
+    // Targets that were unused until then are used from the next snapshot.
+    const auto end = inventory.era_began + reregistration_time;
+    const bool has_ended = e.now >= end && e.now - end <= tick_interval;
+    state.snapshot_is_stale =
+        state.snapshot_is_stale || (inventory.era_began != monotonic_time{} && has_ended);
 }
 
 } // namespace almondquay
--- a/source/control/inventory_items.h
+++ b/source/control/inventory_items.h
@@ -16,8 +16,7 @@
                 const inventory_item& item, effects& out);
 
 /// Applies the registration of a target; one with an older incarnation is ignored.
-void apply_target(control_state& state, const event& e, const registered_target& entry,
-                  effects& out);
+void apply_target(control_state& state, const event& e, registered_target entry, effects& out);
 
 void apply_host(control_state& state, const host& h);
 
@@ -44,7 +43,8 @@
 std::size_t remove_unlisted(control_state& state, const event& e, inventory_kind kind,
                             const std::set<std::string>& seen, effects& out);
 
-/// Removes the targets that did not register again in time after an outage of the store.
-void remove_expired_targets(control_state& state, const event& e, effects& out);
+/// Removes the entries that were not written again in time after an outage of the store or its
+/// return from an older copy.
+void remove_expired_entries(control_state& state, const event& e, effects& out);
 
 } // namespace almondquay
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -6,6 +6,7 @@
 #include "control/inventory_items.h"
 #include "control/membership.h"
 #include "control/peer_inventory.h"
+#include "control/store_era.h"
 #include "control/store_followers.h"
 
 #include <algorithm>
@@ -268,9 +269,25 @@
     }
 }
 
+/// Whether the page continues what this host has read: pages of a list and the changes after a
+/// revision are of one era.
+bool continues_list(const inventory_list& list, const inventory_query& query,
+                    const inventory_page& page)
+{
+    if (query.follow) {
+        return page.at.era == query.since.era;
+    }
+    return query.after.empty() || page.at.era == list.read_at.era;
+}
+
 void apply_page(control_state& state, const event& e, const inventory_query& query,
                 const inventory_page& page, effects& out)
 {
+    auto& list = list_of(state.inventory, query.kind);
+    if (!continues_list(list, query, page)) {
+        restart_reading(list, e.now);
+        return;
+    }
     for (const auto& item : page.items) {
         apply_item(state, e, query.kind, item, out);
     }
@@ -337,7 +354,7 @@
         }
     }
     register_if_due(state, e, out);
-    remove_expired_targets(state, e, out);
+    remove_expired_entries(state, e, out);
     remove_dead_host(state, e, out);
     query_peers_while_starting(state, e, out);
 }
@@ -350,12 +367,16 @@
         return; // Superseded by a peer's copy or by a later query.
     }
     list.call_running = false;
-    if (succeeded(read.page)) {
+    note_answer_era(state, e, read.era, succeeded(read.page), out);
+    if (!succeeded(read.page)) {
+        handle_failure(state, e, list, error_of(read.page), out);
+    } else if (stated_or_known(state, read.era.era) < state.inventory.era) {
+        const error problem{result_code::platform_bad_answer, "an answer of an earlier era"};
+        handle_failure(state, e, list, problem, out);
+    } else {
         list.failures = 0;
         update_store_reachability(state, e, true, "", out);
-        apply_page(state, e, read.query, value_of(read.page), out);
-    } else {
-        handle_failure(state, e, list, error_of(read.page), out);
+        apply_page(state, e, read.query, in_known_era(state, value_of(read.page)), out);
     }
     state.fleet.platform_answered = true;
     const bool is_due = !list.call_running && e.now >= list.next_call;
@@ -369,9 +390,13 @@
                             const host_registered_event& registered, effects& out)
 {
     auto& inventory = state.inventory;
+    note_answer_era(state, e, registered.era, succeeded(registered.outcome), out);
     inventory.registration_running = false;
-    inventory.is_registered = succeeded(registered.outcome);
-    if (!inventory.is_registered) {
+    const bool is_current = stated_or_known(state, registered.era.era) >= inventory.era;
+    inventory.is_registered = succeeded(registered.outcome) && is_current;
+    if (!is_current) {
+        inventory.next_registration = e.now;
+    } else if (!inventory.is_registered) {
         inventory.next_registration = e.now + backoff(state, max_doublings);
         update_store_reachability(state, e, false, error_of(registered.outcome).detail, out);
     }
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -3,6 +3,7 @@
 #include "control/decisions.h"
 #include "control/peer_inventory.h"
 #include "control/probing.h"
+#include "control/store_era.h"
 #include "control/target_limits.h"
 #include "control/unreachable_targets.h"
 
@@ -318,6 +319,7 @@
         message.in_force = state.fleet.envelope->number;
         message.fingerprint = state.fleet.fingerprint;
     }
+    message.era = state.inventory.era;
     message.inventory = revisions_of(state.inventory);
     message.digests = digests_of(state.inventory);
     message.confirmed = confirmation_ages(state, state.now);
@@ -381,6 +383,7 @@
     if (message.in_force > own && !state.self.has_inventory) {
         out.emplace_back(fetch_fleet_effect{answer_to});
     }
+    note_peer_era(state, e, message.era, message.from, out);
     handle_unreachable_report(state, e, message, out);
     handle_permit_messages(state, e, message, answer_to, out);
     apply_announced_changes(state, e, message, out);
--- a/source/control/peer_inventory.cpp
+++ b/source/control/peer_inventory.cpp
@@ -4,6 +4,7 @@
 #include "control/fleet_adoption.h"
 #include "control/inventory_changes.h"
 #include "control/inventory_items.h"
+#include "control/store_era.h"
 #include "control/store_followers.h"
 
 #include <algorithm>
@@ -22,26 +23,32 @@
 /// The wall clock and the steady clock drift apart by less than this between two ticks.
 constexpr milliseconds tolerated_drift{500};
 /// Higher than any revision, so that the peer sends nothing of that list.
-const store_revision max_revision{std::numeric_limits<std::uint64_t>::max()};
+const store_revision max_revision{std::numeric_limits<std::uint64_t>::max(),
+                                  store_era(std::numeric_limits<std::uint64_t>::max())};
 
 milliseconds time_left(monotonic_time until, monotonic_time now)
 {
     return std::max(std::chrono::duration_cast<milliseconds>(until - now), milliseconds{0});
 }
 
-void add_target(const control_state& state, const listed_target& listed, monotonic_time now,
-                inventory_copy& copy)
+void add_target(const listed_target& listed, monotonic_time now, inventory_copy& copy)
 {
     auto entry = listed.entry;
     entry.cold_left = time_left(listed.cold_until, now);
-    const auto missing = state.inventory.missing.find(entry.definition.id);
-    if (missing != state.inventory.missing.end()) {
-        const auto left = std::max(time_left(missing->second, now), milliseconds{1});
-        copy.removed.push_back({inventory_kind::targets, entry.definition.id.value, left});
-    }
     copy.targets.push_back(std::move(entry));
 }
 
+/// An entry that is in force although it is not listed any more is removed after a while.
+void add_removal_if_missing(const control_state& state, inventory_kind kind,
+                            const std::string& name, monotonic_time now, inventory_copy& copy)
+{
+    const auto& missing = missing_of(state.inventory, kind);
+    if (const auto found = missing.find(name); found != missing.end()) {
+        const auto left = std::max(time_left(found->second, now), milliseconds{1});
+        copy.removed.push_back({kind, name, left});
+    }
+}
+
 void add_revision(const control_state& state, inventory_kind kind, const std::string& name,
                   inventory_copy& copy)
 {
@@ -54,16 +61,18 @@
                monotonic_time now, inventory_copy& copy)
 {
     const auto& inventory = state.inventory;
+    add_removal_if_missing(state, kind, name, now, copy);
     if (kind == inventory_kind::targets) {
         if (const auto t = inventory.targets.find(target_id(name)); t != inventory.targets.end()) {
-            add_target(state, t->second, now, copy);
+            add_target(t->second, now, copy);
             add_revision(state, kind, name, copy);
             return;
         }
     } else if (kind == inventory_kind::hosts) {
         const auto h = inventory.hosts.find(host_id(name));
         // A host also knows itself if it is not listed.
-        const bool is_listed = list_of(inventory, kind).content.entries.contains(name);
+        const bool is_listed = list_of(inventory, kind).content.entries.contains(name) ||
+                               missing_of(inventory, kind).contains(name);
         if (h != inventory.hosts.end() && is_listed) {
             copy.hosts.push_back(h->second);
             add_revision(state, kind, name, copy);
@@ -110,8 +119,10 @@
 bool is_applicable(const inventory_list& list, const inventory_copy& copy, std::size_t i)
 {
     const bool is_whole = copy.since.at(i).value == 0;
-    const bool is_newer = copy.at.at(i) > list.at || (!list.is_complete && copy.at.at(i).value > 0);
-    return is_newer && (is_whole || (list.is_complete && copy.since.at(i) <= list.at));
+    const bool is_newer = copy.at.at(i).value > 0 && (copy.at.at(i) > list.at || !list.is_complete);
+    const bool has_no_gap =
+        list.is_complete && copy.since.at(i) <= list.at && copy.at.at(i).era == list.at.era;
+    return is_newer && (is_whole || has_no_gap);
 }
 
 void apply_entries(control_state& state, const event& e, inventory_kind kind,
@@ -256,18 +267,24 @@
     list.next_call = e.now + (list.failures == 0 ? milliseconds{0} : copy_request_interval);
 }
 
+/// Revisions of two eras name different changes, so that digests of two eras cannot be compared.
+bool has_same_content(const inventory_list& list, store_revision theirs, list_digest digest)
+{
+    return theirs.era == list.at.era && are_same(digest_of(list.content), digest);
+}
+
 bool is_behind(const inventory_list& list, store_revision theirs, list_digest digest)
 {
     if (theirs.value == 0 || !list.is_complete) {
         return theirs.value != 0;
     }
-    return theirs > list.at && !are_same(digest_of(list.content), digest);
+    return theirs > list.at && !has_same_content(list, theirs, digest);
 }
 
 /// A list with the same content as the peer's is also current at the peer's revision.
 void adopt_revision(inventory_list& list, store_revision theirs, list_digest digest)
 {
-    if (list.is_complete && theirs > list.changed && are_same(digest_of(list.content), digest)) {
+    if (list.is_complete && theirs > list.changed && has_same_content(list, theirs, digest)) {
         list.changed = theirs;
         list.at = std::max(list.at, theirs);
     }
@@ -276,7 +293,8 @@
 /// Whether the peer's confirmation also applies to the local list, which must not be behind.
 bool shares_confirmation(const inventory_list& list, store_revision theirs, list_digest digest)
 {
-    return theirs.value != 0 && (theirs < list.changed || !differ(digest_of(list.content), digest));
+    return theirs.value != 0 && theirs.era == list.at.era &&
+           (theirs < list.changed || !differ(digest_of(list.content), digest));
 }
 
 /// The generation in force for requests of copies.
@@ -396,10 +414,11 @@
     return ages;
 }
 
-inventory_copy copy_of(const control_state& state, const inventory_revisions& have,
+inventory_copy copy_of(const control_state& state, const inventory_revisions& stated,
                        monotonic_time now)
 {
     const auto& inventory = state.inventory;
+    const auto have = in_known_era(state, stated);
     inventory_copy copy;
     copy.at = revisions_of(inventory);
     const auto generation_known = have.at(static_cast<std::size_t>(inventory_kind::configuration));
@@ -411,8 +430,8 @@
             copy.at.at(i) = {};
             continue;
         }
-        const bool as_changes =
-            have.at(i).value != 0 && has_all_changes(inventory, kind, have.at(i));
+        const bool as_changes = have.at(i).value != 0 && have.at(i).era == copy.at.at(i).era &&
+                                has_all_changes(inventory, kind, have.at(i));
         copy.since.at(i) = as_changes ? have.at(i) : store_revision{};
         copy.digests.at(i) = digest_of(inventory.lists.at(i).content);
         const auto names =
@@ -438,9 +457,13 @@
 }
 
 /// Applies what a peer has sent, if it is newer.
-void apply_copy(control_state& state, const event& e, const inventory_copy& copy,
+void apply_copy(control_state& state, const event& e, inventory_copy stated,
                 const std::string& peer, effects& out)
 {
+    for (const auto& revision : stated.at) {
+        note_peer_era(state, e, revision.era, host_id(peer), out);
+    }
+    const auto copy = in_known_era(state, std::move(stated));
     if (copy.configuration && !copy.configuration->empty()) {
         auto change = decode_fleet_change(*copy.configuration);
         if (succeeded(change)) {
@@ -526,7 +549,7 @@
     bool lacks_lists = false;
     for (std::size_t i = 0; i < inventory_kinds; ++i) {
         auto& list = inventory.lists.at(i);
-        const auto theirs = message.inventory.at(i);
+        const auto theirs = in_known_era(state, message.inventory.at(i));
         const auto digest = message.digests.at(i);
         const bool is_configuration =
             static_cast<inventory_kind>(i) == inventory_kind::configuration;
--- a/source/control/peer_inventory.h
+++ b/source/control/peer_inventory.h
@@ -25,9 +25,9 @@
 /// The time since each list was last confirmed; `never_confirmed` if it never was.
 inventory_ages confirmation_ages(const control_state& state, monotonic_time now);
 
-/// The part of the inventory that a peer at revisions `have` lacks: individual changes where they
-/// are known, otherwise whole lists.
-inventory_copy copy_of(const control_state& state, const inventory_revisions& have,
+/// The part of the inventory that a peer lacks that has stated its revisions: individual changes
+/// where they are known, otherwise whole lists.
+inventory_copy copy_of(const control_state& state, const inventory_revisions& stated,
                        monotonic_time now);
 
 /// Encodes the changes of one list after `since` for an announcement. Empty if they are not known
--- a/source/control/snapshot_builder.cpp
+++ b/source/control/snapshot_builder.cpp
@@ -66,11 +66,13 @@
         route.life = t.life;
         route.domain = t.domain;
         route.in_region = region_of(configuration, t.domain);
-        route.cold_until = state.inventory.targets.at(id).cold_until;
+        const auto& listed = state.inventory.targets.at(id);
+        route.cold_until = listed.cold_until;
         if (route.cold_until > state.now) {
             route.cold_per_second = cold_share(state, t);
         }
-        route.usable = !t.leaving && !view.dead_targets.contains(id) &&
+        route.usable = !t.leaving && listed.unused_until <= state.now &&
+                       !view.dead_targets.contains(id) &&
                        !state.inventory.evacuated.contains(t.domain);
         auto& of_service = snapshot.services[t.serves.value];
         of_service.are_targets_shared = true;
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -133,6 +133,14 @@
 struct listed_target {
     registered_target entry;
     monotonic_time cold_until{}; ///< until then it is sent requests only at a limited rate
+    monotonic_time
+        unused_until{}; ///< until then its entry may be outdated, and it gets no requests
+};
+
+/// A target that was removed.
+struct departed_target {
+    incarnation life;
+    monotonic_time at{};
 };
 
 /// The name of a changed entry; the change itself is the current state of that entry.
@@ -149,10 +157,14 @@
     std::map<target_id, listed_target> targets;
     std::map<host_id, host> hosts;
     std::set<failure_domain_id> evacuated;
-    std::map<target_id, monotonic_time>
-        missing; ///< targets that are no longer listed, and when they are removed
-    std::set<std::string> unreadable;   ///< entries already logged as unreadable
-    monotonic_time last_failure{};      ///< time of the last failed call to the store
+    /// Entries of each list that are no longer listed, and when they are removed.
+    std::array<std::map<std::string, monotonic_time>, inventory_kinds> missing;
+    std::map<target_id, departed_target> departed; ///< those removed a short time ago
+    store_era era;                                 ///< the latest era of the store that is known
+    monotonic_time era_began{};       ///< when this host learned of it; zero if it is the first one
+    bool is_era_missing = false;      ///< the latest answers state no era that can be read
+    std::set<std::string> unreadable; ///< entries already logged as unreadable
+    monotonic_time last_failure{};    ///< time of the last failed call to the store
     monotonic_time unreachable_since{}; ///< zero if the store answers or never answered
     monotonic_time reachable_since{};   ///< when the store became reachable again
     monotonic_time next_peer_query{};
@@ -207,6 +219,18 @@
     return inventory.lists.at(static_cast<std::size_t>(kind));
 }
 
+inline std::map<std::string, monotonic_time>& missing_of(inventory_state& inventory,
+                                                         inventory_kind kind)
+{
+    return inventory.missing.at(static_cast<std::size_t>(kind));
+}
+
+inline const std::map<std::string, monotonic_time>& missing_of(const inventory_state& inventory,
+                                                               inventory_kind kind)
+{
+    return inventory.missing.at(static_cast<std::size_t>(kind));
+}
+
 enum class life_stage { starting, serving, leaving, ending };
 
 struct control_state {
--- a/source/logging/event_schema.cpp
+++ b/source/logging/event_schema.cpp
@@ -62,6 +62,11 @@
      "A query to another host for its copy of the store's lists (level debug)."},
     {"host_not_removed", "host why", false,
      "The entry of a host that has been dead for long could not be removed from the store."},
+    {"store_era", "era era_before revisions_before source", true,
+     "The store has returned from an older copy of itself; its lists are read anew and stay in "
+     "force until then."},
+    {"store_era_missing", "era stated", true,
+     "An answer of the store states no era that can be read; it counts as one of the known era."},
     {"list_read", "dropped entries list revision revision_before", true,
      "A list of the store was read completely; how many known entries it no longer contains."},
     {"list_copied", "entries list peer revision revision_before", true,
--- a/source/peer/gossip_message.cpp
+++ b/source/peer/gossip_message.cpp
@@ -1,5 +1,7 @@
 #include "peer/gossip_message.h"
 
+#include "peer/era_codec.h"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -118,7 +120,8 @@
          std::move(confirmed), message.wants_reply, encode_heartbeats(message.suspects),
          message.reply_address.address, message.reply_address.port, message.recent_changes,
          std::move(unreachable), encode_requests(message.permit_requests),
-         encode_replies(message.permit_replies), std::move(digests)});
+         encode_replies(message.permit_replies), std::move(digests),
+         encode_eras(message.era, message.inventory)});
     const auto bytes = json::to_cbor(whole);
     std::string body(bytes.begin(), bytes.end());
     return sign(secret, body) + body;
@@ -168,6 +171,10 @@
             message.confirmed.at(i) =
                 std::clamp(age, std::chrono::milliseconds{0}, never_confirmed);
         }
+        constexpr std::size_t eras_index = 17; // Likewise.
+        if (whole.size() > eras_index) {
+            message.era = decode_eras(whole.at(eras_index), message.inventory);
+        }
         return message;
     } catch (const json::exception& problem) {
         return error{result_code::peer_message_malformed, problem.what()};
--- a/source/peer/gossip_message.h
+++ b/source/peer/gossip_message.h
@@ -52,6 +52,7 @@
     generation in_force;           ///< 0 if the sender has no configuration
     std::uint64_t fingerprint = 0; ///< of the envelope in force
     std::vector<member_heartbeat> heartbeats;
+    store_era era{};                 ///< the latest era of the store that the sender knows
     inventory_revisions inventory{}; ///< revisions of the sender's copies of the store's lists
     /// Time since the sender's copy of each list was last known to be current, at most
     /// `never_confirmed`.
--- a/source/peer/inventory_copy.cpp
+++ b/source/peer/inventory_copy.cpp
@@ -1,5 +1,7 @@
 #include "peer/inventory_copy.h"
 
+#include "peer/era_codec.h"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -102,6 +104,21 @@
     return revisions;
 }
 
+/// The changes of a list and its entries are of the era of the list.
+void set_eras(const json& eras, inventory_copy& copy)
+{
+    decode_eras(eras, copy.at);
+    for (std::size_t i = 0; i < inventory_kinds; ++i) {
+        const auto era = copy.at.at(i).era;
+        if (copy.since.at(i).value != 0) {
+            copy.since.at(i).era = era;
+        }
+        for (auto& [name, revision] : copy.revisions.at(i)) {
+            revision.era = era;
+        }
+    }
+}
+
 removed_entry decode_removed(const json& row)
 {
     const auto kind = row.at(0).get<std::size_t>();
@@ -148,6 +165,9 @@
             copy.digests.at(i).value = found->at(i).get<std::uint64_t>();
         }
     }
+    if (const auto found = whole.find("eras"); found != whole.end()) {
+        set_eras(*found, copy);
+    }
     for (const auto& row : whole.at("gone")) {
         copy.removed.push_back(decode_removed(row));
     }
@@ -188,7 +208,12 @@
         removed.push_back(json::array(
             {static_cast<std::size_t>(entry.kind), entry.name, entry.grace_left.count()}));
     }
+    store_era latest;
+    for (const auto& revision : copy.at) {
+        latest = std::max(latest, revision.era);
+    }
     json whole{{"at", to_json(copy.at)},
+               {"eras", encode_eras(latest, copy.at)},
                {"since", to_json(copy.since)},
                {"names", std::move(names.names)},
                {"targets", std::move(targets)},
@@ -214,7 +239,13 @@
 
 std::string encode(const inventory_revisions& have)
 {
-    return to_json(have).dump();
+    auto all = to_json(have);
+    store_era latest;
+    for (const auto& revision : have) {
+        latest = std::max(latest, revision.era);
+    }
+    all.push_back(encode_eras(latest, have));
+    return all.dump();
 }
 
 result<inventory_revisions> decode_inventory_revisions(std::string_view text)
@@ -223,7 +254,12 @@
         return inventory_revisions{};
     }
     try {
-        return to_revisions(json::parse(text));
+        const auto all = json::parse(text);
+        auto have = to_revisions(all);
+        if (all.size() > inventory_kinds) { // Earlier versions state no eras.
+            decode_eras(all.at(inventory_kinds), have);
+        }
+        return have;
     } catch (const json::exception& problem) {
         return error{result_code::peer_message_malformed, problem.what()};
     }
--- a/source/store/http_object_store.cpp
+++ b/source/store/http_object_store.cpp
@@ -162,35 +162,40 @@
 {
     ++(query.follow ? counts_.watches : counts_.reads);
     client_->send(platform_, protocol_.encode_query(query), timeout_ + query.wait,
-                  [query, decode = protocol_.decode_page,
+                  [query, protocol = protocol_,
                    handler = std::move(handler)](const result<http::response>& answer) {
-                      handler(succeeded(answer)
-                                  ? decode(query, value_of(answer))
-                                  : result<inventory_page>(to_platform_error(error_of(answer))));
+                      if (succeeded(answer)) {
+                          handler(protocol.decode_page(query, value_of(answer)),
+                                  protocol.decode_era(value_of(answer)));
+                      } else {
+                          handler(to_platform_error(error_of(answer)), {});
+                      }
                   });
 }
 
 /// `already_done_status` is the error status that means that the requested state already holds.
 void http_object_store::send_host_change(http::request call, unsigned already_done_status,
-                                         done_handler handler)
+                                         registration_handler handler)
 {
     ++counts_.writes;
-    client_->send(
-        platform_, std::move(call), timeout_,
-        [already_done_status, handler = std::move(handler)](const result<http::response>& answer) {
-            if (!succeeded(answer)) {
-                handler(to_platform_error(error_of(answer)));
-                return;
-            }
-            const auto status = value_of(answer).status;
-            const bool is_done = status == http::status_ok || status == http::status_created ||
-                                 status == http::status_no_content || status == already_done_status;
-            handler(is_done ? result<done>(done{})
-                            : result<done>(to_platform_error(value_of(answer))));
-        });
-}
-
-void http_object_store::register_host(const host& self, done_handler handler)
+    client_->send(platform_, std::move(call), timeout_,
+                  [already_done_status, decode_era = protocol_.decode_era,
+                   handler = std::move(handler)](const result<http::response>& answer) {
+                      if (!succeeded(answer)) {
+                          handler(to_platform_error(error_of(answer)), {});
+                          return;
+                      }
+                      const auto status = value_of(answer).status;
+                      const bool is_done =
+                          status == http::status_ok || status == http::status_created ||
+                          status == http::status_no_content || status == already_done_status;
+                      handler(is_done ? result<done>(done{})
+                                      : result<done>(to_platform_error(value_of(answer))),
+                              decode_era(value_of(answer)));
+                  });
+}
+
+void http_object_store::register_host(const host& self, registration_handler handler)
 {
     send_host_change(protocol_.encode_registration(self), http::status_conflict,
                      std::move(handler));
@@ -198,7 +203,10 @@
 
 void http_object_store::remove_host(const host_id& id, done_handler handler)
 {
-    send_host_change(protocol_.encode_removal(id), http::status_not_found, std::move(handler));
+    send_host_change(protocol_.encode_removal(id), http::status_not_found,
+                     [handler = std::move(handler)](result<done> outcome, const era_statement&) {
+                         handler(std::move(outcome));
+                     });
 }
 
 } // namespace almondquay
--- a/source/store/http_object_store.h
+++ b/source/store/http_object_store.h
@@ -39,7 +39,7 @@
     void watch(const std::string& key, object_version known, std::chrono::milliseconds wait,
                object_handler handler) override;
     void query_inventory(const inventory_query& query, page_handler handler) override;
-    void register_host(const host& self, done_handler handler) override;
+    void register_host(const host& self, registration_handler handler) override;
     void remove_host(const host_id& id, done_handler handler) override;
 
     const platform_call_counts& counts() const { return counts_; }
@@ -50,7 +50,8 @@
 
     void put(const std::string& key, http::header condition, std::string body,
              version_handler handler);
-    void send_host_change(http::request call, unsigned already_done_status, done_handler handler);
+    void send_host_change(http::request call, unsigned already_done_status,
+                          registration_handler handler);
 
     std::unique_ptr<http::client> client_;
     endpoint platform_;
--- a/source/store/inventory.h
+++ b/source/store/inventory.h
@@ -81,6 +81,12 @@
     bool has_more = false; ///< for a list: the next page begins after the last item's name
 };
 
+/// What one answer of the store says about its era.
+struct era_statement {
+    store_era era;            ///< nothing if it is missing or unreadable
+    std::string unreadable{}; ///< the text that could not be read
+};
+
 /// A read of a list's page or, with `follow`, of the changes after `since`, by long polling for up
 /// to `wait`.
 struct inventory_query {
--- a/source/store/object_store.h
+++ b/source/store/object_store.h
@@ -24,8 +24,9 @@
 
 using object_handler = std::function<void(result<stored_object>)>;
 using version_handler = std::function<void(result<object_version>)>;
-using page_handler = std::function<void(result<inventory_page>)>;
+using page_handler = std::function<void(result<inventory_page>, const era_statement&)>;
 using done_handler = std::function<void(result<done>)>;
+using registration_handler = std::function<void(result<done>, const era_statement&)>;
 
 /// Every call invokes its handler once, at the latest after its timeout. Errors of all calls:
 /// platform_unavailable and platform_rate_limited (no effect), platform_answer_lost (a write may
@@ -53,11 +54,12 @@
     virtual void watch(const std::string& key, object_version known, std::chrono::milliseconds wait,
                        object_handler handler) = 0;
 
-    /// Reads a part of the inventory. Further errors: platform_history_lost.
+    /// Reads a part of the inventory. Further errors: platform_history_lost. The handlers of this
+    /// call and of a registration get the era that the answer states, also that of a refusal.
     virtual void query_inventory(const inventory_query& query, page_handler handler) = 0;
 
     /// Registers this host as an entry host; succeeds if it is already registered.
-    virtual void register_host(const host& self, done_handler handler) = 0;
+    virtual void register_host(const host& self, registration_handler handler) = 0;
 
     /// Removes a host from the registry; succeeds if it is not registered.
     virtual void remove_host(const host_id& id, done_handler handler) = 0;
--- a/source/store/store_protocol.h
+++ b/source/store/store_protocol.h
@@ -12,11 +12,15 @@
     /// Encodes the HTTP request for `query`.
     http::request (*encode_query)(const inventory_query& query) = nullptr;
 
-    /// Decodes the response. Errors: those of all store calls, and platform_history_lost if the
-    /// store no longer keeps the changes since that revision.
+    /// Decodes the response; its revisions are those of the era that the response states. Errors:
+    /// those of all store calls, and platform_history_lost if the store no longer keeps the changes
+    /// since that revision.
     result<inventory_page> (*decode_page)(const inventory_query& query,
                                           const http::response& answer) = nullptr;
 
+    /// Decodes the era that any response of the store states, whatever its status.
+    era_statement (*decode_era)(const http::response& answer) = nullptr;
+
     /// Encodes the HTTP request that registers this host as an entry host.
     http::request (*encode_registration)(const host& self) = nullptr;
 
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -135,6 +135,19 @@
     return reduce(state, at(now, inventory_read_event{pending_query_of(state, kind), page}));
 }
 
+/// Answers the query of targets that is pending.
+effects answer_in_era(control_state& state, milliseconds now,
+                      const std::vector<inventory_item>& items, std::uint64_t revision,
+                      store_era era)
+{
+    inventory_page page{items, store_revision(revision, era), false};
+    for (auto& item : page.items) {
+        item.revision.era = era;
+    }
+    const auto query = pending_query_of(state, inventory_kind::targets);
+    return reduce(state, at(now, inventory_read_event{query, page, {era}}));
+}
+
 effects fail(control_state& state, milliseconds now, inventory_kind kind, result_code code)
 {
     return reduce(state,
@@ -295,6 +308,10 @@
     CPPUNIT_TEST(a_restarted_target_is_a_new_one);
     CPPUNIT_TEST(all_hosts_together_respect_the_rate_of_a_cold_target);
     CPPUNIT_TEST(late_answers_to_superseded_queries_are_ignored);
+    CPPUNIT_TEST(a_newer_era_makes_all_lists_be_read_anew);
+    CPPUNIT_TEST(an_answer_of_an_earlier_era_changes_nothing);
+    CPPUNIT_TEST(an_answer_without_an_era_is_one_of_the_known_era);
+    CPPUNIT_TEST(a_peer_of_an_earlier_version_has_the_known_era);
     CPPUNIT_TEST(a_bounded_stop_leaves_time_for_running_requests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -898,6 +915,76 @@
         CPPUNIT_ASSERT(knows(state, "t"));
     }
 
+    void a_newer_era_makes_all_lists_be_read_anew()
+    {
+        auto state = serving_state({item_of(target_of("t"))});
+        answer_in_era(state, seconds(1), {}, 10, store_era(1));
+        reduce(state, at(milliseconds(1'500), tick_event{}));
+        // From a refusal as well.
+        const auto query = pending_query_of(state, inventory_kind::hosts);
+        const error refusal{result_code::platform_rate_limited, "429"};
+        const auto emitted =
+            reduce(state, at(seconds(2), inventory_read_event{query, refusal, {store_era(2)}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions_of(emitted, "store_era"));
+        CPPUNIT_ASSERT(count<send_gossip_effect>(emitted) > 0);
+        CPPUNIT_ASSERT(knows(state, "t"));
+        const auto next = reduce(state, at(seconds(3), tick_event{}));
+        std::size_t whole_reads = 0;
+        for (const auto& e : next) {
+            const auto* asked = std::get_if<query_inventory_effect>(&e);
+            whole_reads += asked != nullptr && !asked->query.follow ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(inventory_kinds, whole_reads);
+        const auto later = reduce(state, at(seconds(4), tick_event{}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<register_host_effect>(next) +
+                                                 count<register_host_effect>(later));
+    }
+
+    void an_answer_of_an_earlier_era_changes_nothing()
+    {
+        auto state = serving_state({item_of(target_of("t"))});
+        answer_in_era(state, seconds(1), {item_of(target_of("t"))}, 10, store_era(2));
+        reduce(state, at(seconds(2), tick_event{}));
+        answer_in_era(state, seconds(3), {item_of(target_of("old"))}, 50, store_era(1));
+        CPPUNIT_ASSERT(knows(state, "t"));
+        CPPUNIT_ASSERT(!knows(state, "old"));
+        CPPUNIT_ASSERT(state.inventory.era == store_era(2));
+    }
+
+    void an_answer_without_an_era_is_one_of_the_known_era()
+    {
+        auto state = serving_state({item_of(target_of("t"))});
+        answer_in_era(state, seconds(1), {item_of(target_of("t"))}, 10, store_era(2));
+        reduce(state, at(seconds(2), tick_event{}));
+        answer_in_era(state, seconds(3), {item_of(target_of("t"))}, 11, store_era(2));
+        const auto emitted =
+            answer_in_era(state, seconds(4), {item_of(target_of("new"))}, 12, store_era{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions_of(emitted, "store_era_missing"));
+        CPPUNIT_ASSERT(knows(state, "new"));
+        reduce(state, at(milliseconds(4'900), tick_event{}));
+        const auto again =
+            answer_in_era(state, seconds(5), {item_of(target_of("newer"))}, 13, store_era{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decisions_of(again, "store_era_missing"));
+        CPPUNIT_ASSERT(knows(state, "newer"));
+        const auto& list = list_of(state.inventory, inventory_kind::targets);
+        CPPUNIT_ASSERT(list.at == store_revision(13, store_era(2)));
+    }
+
+    /// A host of an earlier version may still be at revisions of before the return of the store. It
+    /// learns of the changes as late as it would by itself.
+    void a_peer_of_an_earlier_version_has_the_known_era()
+    {
+        auto state = serving_state({item_of("t", 10)});
+        answer_in_era(state, seconds(1), {item_of("t", 10)}, 10, store_era(2));
+        reduce(state, at(seconds(2), tick_event{}));
+        answer_in_era(state, seconds(3), {item_of("t", 10)}, 10, store_era(2));
+        auto message = message_about_targets(state, 12);
+        message.digests = {};
+        reduce(state, at(seconds(4), gossip_event{message}));
+        CPPUNIT_ASSERT(list_of(state.inventory, inventory_kind::targets).behind_since ==
+                       monotonic_time(seconds(4)));
+    }
+
     void a_bounded_stop_leaves_time_for_running_requests()
     {
         auto state = serving_state({});
--- a/unit_tests/control/store_world.cpp
+++ b/unit_tests/control/store_world.cpp
@@ -89,6 +89,15 @@
     return all;
 }
 
+std::set<host_id> store_world::registered_hosts() const
+{
+    std::set<host_id> registered;
+    for (const auto& [name, item] : objects_.at(index_of(inventory_kind::hosts))) {
+        registered.emplace(name);
+    }
+    return registered;
+}
+
 std::vector<host_id> store_world::followers() const
 {
     std::vector<host_id> all;
@@ -249,8 +258,9 @@
                     commit_change(inventory_kind::hosts, id.value,
                                   inventory_item{id.value, listed->self});
                 }
-                after(store_delay,
-                      [this, id, life] { deliver(id, life, host_registered_event{done{}}); });
+                after(store_delay, [this, id, life, era = revision_.era] {
+                    deliver(id, life, host_registered_event{done{}, era_statement{era}});
+                });
             }
         }
     }
@@ -338,6 +348,12 @@
     });
 }
 
+/// The store knows its revisions by number alone.
+bool store_world::is_after(const change& c, const inventory_query& query)
+{
+    return c.at.value > query.since.value;
+}
+
 void store_world::query_store(const host_id& id, const inventory_query& query)
 {
     ++hosts_.at(id)->calls;
@@ -356,8 +372,9 @@
     }
     waiting_.push_back(waiting);
     const bool has_changes = std::ranges::any_of(
-        history_, [&](const change& c) { return c.kind == query.kind && c.at > query.since; });
-    const bool waits = query.follow && !has_changes;
+        history_, [&](const change& c) { return c.kind == query.kind && is_after(c, query); });
+    const bool is_unknown = query.since.value > revision_.value;
+    const bool waits = query.follow && !has_changes && !is_unknown;
     after(waits ? query.wait : store_delay, [this, waiting] { answer(*waiting); });
 }
 
@@ -370,10 +387,17 @@
     const auto& known = objects_.at(index_of(query.kind));
     inventory_page page;
     page.at = revision_;
+    if (query.follow && query.since.value > revision_.value) {
+        const_cast<pending_query&>(waiting).is_completed = true;
+        deliver(waiting.querying_host, waiting.life,
+                inventory_read_event{query, error{result_code::platform_history_lost, "410"},
+                                     era_statement{revision_.era}});
+        return;
+    }
     if (query.follow) {
         std::set<std::string> names;
         for (const auto& c : history_) {
-            if (c.kind == query.kind && c.at > query.since && names.insert(c.name).second) {
+            if (c.kind == query.kind && is_after(c, query) && names.insert(c.name).second) {
                 const auto found = known.find(c.name);
                 page.items.push_back(found == known.end()
                                          ? inventory_item{c.name, deleted_entry{}, revision_}
@@ -388,7 +412,11 @@
         page.has_more = next != known.end();
     }
     const_cast<pending_query&>(waiting).is_completed = true;
-    deliver(waiting.querying_host, waiting.life, inventory_read_event{query, page});
+    for (auto& item : page.items) {
+        item.revision.era = revision_.era;
+    }
+    deliver(waiting.querying_host, waiting.life,
+            inventory_read_event{query, page, era_statement{revision_.era}});
 }
 
 store_revision store_world::commit_change(inventory_kind kind, const std::string& name,
@@ -412,9 +440,55 @@
     return revision_;
 }
 
+void store_world::copy_store()
+{
+    copy_ = {revision_, objects_, history_};
+}
+
+void store_world::restore_store(milliseconds away, milliseconds rewritten_after)
+{
+    store_unreachable_ = true;
+    waiting_.clear();
+    after(away, [this, rewritten_after] {
+        std::vector<change> lost;
+        std::ranges::copy_if(history_, std::back_inserter(lost),
+                             [&](const change& c) { return c.at.value > copy_.revision.value; });
+        const auto before = std::exchange(objects_, copy_.objects);
+        revision_ = store_revision(copy_.revision.value, store_era(*revision_.era.value + 1));
+        history_ = copy_.history;
+        store_unreachable_ = false;
+        after(rewritten_after, [this, lost, before] { write_again(lost, before); });
+    });
+}
+
+void store_world::write_again(const std::vector<change>& lost, const store_objects& before)
+{
+    std::set<std::pair<inventory_kind, std::string>> written;
+    for (const auto& c : lost) {
+        if (c.kind == inventory_kind::hosts || !written.emplace(c.kind, c.name).second) {
+            continue;
+        }
+        const auto& of_kind = before.at(index_of(c.kind));
+        const auto found = of_kind.find(c.name);
+        commit_change(c.kind, c.name,
+                      found == of_kind.end() ? std::nullopt : std::optional(found->second));
+    }
+}
+
 store_revision store_world::put_target(const std::string& name, std::uint64_t life)
+{
+    return put_target(name, life, false);
+}
+
+store_revision store_world::put_leaving_target(const std::string& name, std::uint64_t life)
+{
+    return put_target(name, life, true);
+}
+
+store_revision store_world::put_target(const std::string& name, std::uint64_t life, bool leaving)
 {
     registered_target t;
+    t.definition.leaving = leaving;
     t.definition.id.value = name;
     t.definition.serves.value = "s";
     t.definition.domain.value = "r0-0";
--- a/unit_tests/control/store_world.h
+++ b/unit_tests/control/store_world.h
@@ -40,6 +40,8 @@
 
     /// Change the store; each returns the revision of its change.
     store_revision put_target(const std::string& name, std::uint64_t life = 1);
+    /// The target reports that it leaves.
+    store_revision put_leaving_target(const std::string& name, std::uint64_t life = 1);
     store_revision delete_target(const std::string& name);
     store_revision put_evacuation(const std::string& domain);
     store_revision delete_evacuation(const std::string& domain);
@@ -72,6 +74,16 @@
     void restart(const host_id& id);
     void set_store_unreachable(bool away) { store_unreachable_ = away; }
 
+    /// Takes a copy of the store, as a backup does.
+    void copy_store();
+    /// The store is unreachable for `away` and returns from its copy with a new era. Calls that
+    /// run at its start are never answered. What operators and targets had written since the copy
+    /// is written again, the latest state of each object once, `rewritten_after` its return; what
+    /// hosts had written is lost.
+    void restore_store(std::chrono::milliseconds away, std::chrono::milliseconds rewritten_after);
+
+    /// The hosts that are registered in the store.
+    std::set<host_id> registered_hosts() const;
     /// All hosts, and those that are followers of the store.
     std::vector<host_id> hosts() const;
     std::vector<host_id> followers() const;
@@ -104,6 +116,12 @@
         inventory_query query;
         bool is_completed = false;
     };
+    using store_objects = std::array<std::map<std::string, inventory_item>, inventory_kinds>;
+    struct store_copy {
+        store_revision revision;
+        store_objects objects;
+        std::vector<change> history;
+    };
     struct timed_action {
         std::chrono::milliseconds at;
         std::uint64_t order = 0;
@@ -121,6 +139,7 @@
     monotonic_time steady_time(const host_id& id) const;
     void deliver(const host_id& id, std::uint64_t life, event_body body);
     void run_effects(const host_id& id, const effects& all);
+    static bool is_after(const change& c, const inventory_query& query);
     void query_store(const host_id& id, const inventory_query& query);
     void answer(const pending_query& waiting);
     void send(const host_id& from, const send_gossip_effect& e);
@@ -136,6 +155,8 @@
     std::chrono::milliseconds time_to_send(running_host& sender, std::size_t bytes);
     store_revision commit_change(inventory_kind kind, const std::string& name,
                                  std::optional<inventory_item> item);
+    void write_again(const std::vector<change>& lost, const store_objects& before);
+    store_revision put_target(const std::string& name, std::uint64_t life, bool leaving);
     bool reaches_peers(const host_id& id) const;
     bool reaches_store(const host_id& id) const;
     host_id host_at(const endpoint& peer) const;
@@ -153,9 +174,10 @@
     std::uint64_t permit_requests_ = 0;
     std::map<std::uint64_t, target_id> permit_targets_; ///< by number of the request
     std::map<target_id, std::vector<std::chrono::milliseconds>> permits_;
-    store_revision revision_{1};
-    std::array<std::map<std::string, inventory_item>, inventory_kinds> objects_;
+    store_revision revision_{1, store_era(1)};
+    store_objects objects_;
     std::vector<change> history_;
+    store_copy copy_;
     std::vector<std::shared_ptr<pending_query>> waiting_;
 };
 
--- a/unit_tests/fakes/fake_registry.cpp
+++ b/unit_tests/fakes/fake_registry.cpp
@@ -14,7 +14,9 @@
 
 /// Fake of the users' platform's store: objects by kind and name, lists, and long-poll watches for
 /// changes. POST /control?fault=F&value=V injects a fault: down (all calls get 503), forget
-/// (watches from a revision before now get 410), deaf (waiting watches are never answered).
+/// (watches from a revision before now get 410), deaf (waiting watches are never answered), copy
+/// (takes a copy of all objects) and return (comes back from that copy with the next era; waiting
+/// watches are never answered, and nothing is written again).
 namespace {
 
 namespace asio = boost::asio;
@@ -32,20 +34,27 @@
 struct waiting_watch {
     std::string kind;
     std::uint64_t since = 0;
+    std::uint64_t era = 0;
     http::responder respond;
     std::unique_ptr<asio::steady_timer> limit;
 };
 
-struct registry {
+/// What a copy of the store holds.
+struct contents {
+    std::uint64_t revision = 1;
+    std::map<std::string, std::map<std::string, json>> kinds;
+    std::vector<change> history;
+};
+
+struct registry : contents {
     explicit registry(asio::io_context& context) : io(&context) {}
 
     asio::io_context* io;
-    std::uint64_t revision = 1;
+    std::uint64_t era = 1;
     std::uint64_t oldest_revision = 0; ///< watches from an earlier revision get 410
     bool is_down = false;
     bool is_deaf = false;
-    std::map<std::string, std::map<std::string, json>> kinds;
-    std::vector<change> history;
+    contents copy;
     std::list<waiting_watch> waiting;
 };
 
@@ -56,9 +65,11 @@
     return value;
 }
 
-void answer(const http::responder& respond, unsigned status, const json& body)
+void answer(const registry& r, const http::responder& respond, unsigned status, const json& body)
 {
-    respond({status, {{"Content-Type", "application/json"}}, body.dump()});
+    respond({status,
+             {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(r.era)}},
+             body.dump()});
 }
 
 json changes_since(const registry& r, const std::string& kind, std::uint64_t since)
@@ -78,9 +89,9 @@
         return;
     }
     for (auto w = r.waiting.begin(); w != r.waiting.end();) {
-        if (w->kind == kind) {
+        if (w->kind == kind && w->era == r.era) {
             const auto events = changes_since(r, kind, w->since);
-            answer(w->respond, http::status_ok, {{"events", events}, {"at", r.revision}});
+            answer(r, w->respond, http::status_ok, {{"events", events}, {"at", r.revision}});
             w = r.waiting.erase(w);
         } else {
             ++w;
@@ -110,28 +121,30 @@
             items.push_back(object);
         }
     }
-    answer(respond, http::status_ok, {{"items", items}, {"has_more", false}, {"at", r.revision}});
+    answer(r, respond, http::status_ok,
+           {{"items", items}, {"has_more", false}, {"at", r.revision}});
 }
 
 void watch_changes(registry& r, const std::string& kind, std::uint64_t since,
                    std::chrono::milliseconds wait, const http::responder& respond)
 {
-    if (since < r.oldest_revision) {
-        answer(respond, http::status_gone, json::object());
+    if (since < r.oldest_revision || since > r.revision) {
+        answer(r, respond, http::status_gone, json::object());
         return;
     }
     const auto events = changes_since(r, kind, since);
     if (!events.empty()) {
-        answer(respond, http::status_ok, {{"events", events}, {"at", r.revision}});
+        answer(r, respond, http::status_ok, {{"events", events}, {"at", r.revision}});
         return;
     }
-    r.waiting.push_back({kind, since, respond, std::make_unique<asio::steady_timer>(*r.io, wait)});
+    r.waiting.push_back(
+        {kind, since, r.era, respond, std::make_unique<asio::steady_timer>(*r.io, wait)});
     const auto watch = std::prev(r.waiting.end());
     watch->limit->async_wait([&r, watch](const boost::system::error_code& problem) {
         if (problem || r.is_deaf) {
             return;
         }
-        answer(watch->respond, http::status_ok, {{"events", json::array()}, {"at", watch->since}});
+        answer(r, watch->respond, http::status_ok, {{"events", json::array()}, {"at", r.revision}});
         r.waiting.erase(watch);
     });
 }
@@ -146,6 +159,14 @@
         r.is_deaf = value != 0;
     } else if (fault == "forget") {
         r.oldest_revision = r.revision;
+    } else if (fault == "copy") {
+        r.copy = r;
+    } else if (fault == "return") {
+        static_cast<contents&>(r) = r.copy;
+        ++r.era;
+        for (auto& watch : r.waiting) {
+            watch.limit->cancel();
+        }
     }
     respond({http::status_ok, {}, {}});
 }
@@ -158,7 +179,7 @@
         return;
     }
     if (r.is_down || !parts.path.starts_with(objects_prefix)) {
-        answer(respond, http::status_unavailable, json::object());
+        answer(r, respond, http::status_unavailable, json::object());
         return;
     }
     const auto rest = parts.path.substr(objects_prefix.size());
@@ -167,19 +188,19 @@
     const auto name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
     if (request.method == "PUT") { // Unconditional writes by operators and targets.
         put(r, kind, name, json::parse(request.body), false);
-        answer(respond, http::status_ok, json::object());
+        answer(r, respond, http::status_ok, json::object());
     } else if (request.method == "DELETE") {
         put(r, kind, name, nullptr, true);
-        answer(respond, http::status_ok, json::object());
+        answer(r, respond, http::status_ok, json::object());
     } else if (request.method == "POST") {
         const auto object = json::parse(request.body);
         const auto created = object.at("metadata").at("name").get<std::string>();
         if (r.kinds[kind].contains(created)) {
-            answer(respond, http::status_conflict, json::object());
+            answer(r, respond, http::status_conflict, json::object());
             return;
         }
         put(r, kind, created, object.at("spec"), false);
-        answer(respond, http::status_created, json::object());
+        answer(r, respond, http::status_created, json::object());
     } else if (const auto since = http::header_of(parts.parameters, "watch"); !since.empty()) {
         const std::chrono::milliseconds wait(
             number_of(http::header_of(parts.parameters, "wait_ms")));
--- a/unit_tests/peer/peer_test.cpp
+++ b/unit_tests/peer/peer_test.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST(gossip_survives_a_round_trip);
     CPPUNIT_TEST(a_copy_survives_a_round_trip);
     CPPUNIT_TEST(a_copy_of_an_earlier_version_has_no_revisions);
+    CPPUNIT_TEST(eras_survive_a_round_trip);
+    CPPUNIT_TEST(messages_of_an_earlier_version_state_no_era);
     CPPUNIT_TEST(unauthenticated_gossip_is_refused);
     CPPUNIT_TEST(any_bytes_are_refused_or_read);
     CPPUNIT_TEST(full_gossip_fits_a_datagram);
@@ -97,6 +99,38 @@
         CPPUNIT_ASSERT(value_of(decoded).digests == inventory_digests{});
     }
 
+    void eras_survive_a_round_trip()
+    {
+        const inventory_revisions of_one_era{store_revision{}, store_revision(4, store_era(2)),
+                                             store_revision(5, store_era(2)), store_revision{}};
+        auto of_two_eras = of_one_era;
+        of_two_eras.back() = store_revision(7, store_era(1));
+        for (const auto& revisions : {of_one_era, of_two_eras}) {
+            auto message = sample_message();
+            message.era = store_era(2);
+            message.inventory = revisions;
+            CPPUNIT_ASSERT(value_of(decode_gossip(encode(message, secret), secret)) == message);
+            CPPUNIT_ASSERT(value_of(decode_inventory_revisions(encode(revisions))) == revisions);
+            inventory_copy copy;
+            copy.at = revisions;
+            copy.since.at(1) = store_revision(3, store_era(2));
+            copy.revisions.at(3) = {{"h", store_revision(6, revisions.at(3).era)}};
+            const auto decoded = decode_inventory_copy(encode(copy));
+            CPPUNIT_ASSERT(value_of(decoded).at == copy.at);
+            CPPUNIT_ASSERT(value_of(decoded).since == copy.since);
+        }
+    }
+
+    void messages_of_an_earlier_version_state_no_era()
+    {
+        const inventory_revisions without_era{store_revision{}, store_revision(4),
+                                              store_revision(5), store_revision{}};
+        CPPUNIT_ASSERT(value_of(decode_inventory_revisions("[0,4,5,0]")) == without_era);
+        auto message = sample_message();
+        message.inventory = without_era;
+        CPPUNIT_ASSERT(!value_of(decode_gossip(encode(message, secret), secret)).era.value);
+    }
+
     void unauthenticated_gossip_is_refused()
     {
         const auto datagram = encode(sample_message(), {"the secret of somebody else"});
--- a/unit_tests/platform/registry_test.cpp
+++ b/unit_tests/platform/registry_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(versions_are_hexadecimal);
     CPPUNIT_TEST(other_configurations_are_ignored);
     CPPUNIT_TEST(pages_and_changes_are_read);
+    CPPUNIT_TEST(the_era_is_read_from_every_answer);
     CPPUNIT_TEST(error_statuses_map_to_result_codes);
     CPPUNIT_TEST(host_entries_round_trip);
     CPPUNIT_TEST(lookup_answers_list_addresses);
@@ -322,6 +323,30 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, value_of(change).at.value);
     }
 
+    /// Guards against changes that are missed for good after the store has returned from a copy.
+    void the_era_is_read_from_every_answer()
+    {
+        const auto era = [](unsigned status, const std::string& text) {
+            return registry_protocol.decode_era({status, {{"Store-Era", text}}, "{}"});
+        };
+        for (const unsigned status : {200U, 201U, 404U, 409U, 410U, 429U, 503U}) {
+            CPPUNIT_ASSERT(era(status, "7").era == store_era(7));
+        }
+        for (const auto* text : {"", "seven", "-1", "7.5", "7 8", "99999999999999999999"}) {
+            CPPUNIT_ASSERT(!era(200, text).era.value);
+            CPPUNIT_ASSERT_EQUAL(std::string(text), era(200, text).unreadable);
+        }
+        CPPUNIT_ASSERT(!registry_protocol.decode_era({200, {}, "{}"}).era.value);
+        const json list{
+            {"items", json::array({valid_target_entry()})}, {"has_more", false}, {"at", 9}};
+        const http::response answer{200, {{"store-era", "3"}}, list.dump()};
+        inventory_query query;
+        query.kind = inventory_kind::targets;
+        const auto page = registry_protocol.decode_page(query, answer);
+        CPPUNIT_ASSERT(value_of(page).at == store_revision(9, store_era(3)));
+        CPPUNIT_ASSERT(value_of(page).items.front().revision.era == store_era(3));
+    }
+
     void error_statuses_map_to_result_codes()
     {
         const auto code = [](unsigned status) {
