Serve only once all needed lists are known

Cause: a host that is no follower and finds no peer reads the evacuations 3.5 s after its start and began to serve with the configuration and the targets, after 1.5 s.

Ruled out: the store, which was sound; the candidates that were never heard of, which only delay the reads.

Change: what a host must know before it serves is named in one place: the configuration, the targets, the evacuations and the hosts. A list that it lacks is read as early as the most urgent one. The list of hosts has the same cause: without it a host counts itself alone for cold targets.

Why it works: no way to serving is left that does not ask for the lists, and the lists do not come later than the targets did.

--- a/source/control/fleet_adoption.cpp
+++ b/source/control/fleet_adoption.cpp
@@ -318,11 +318,7 @@
 
 void start_serving_if_ready(control_state& state, const event& e, effects& out)
 {
-    const bool has_initial_state =
-        state.self.has_inventory ? is_inventory_known(state) : state.fleet.platform_answered;
-    const bool is_ready =
-        state.stage == life_stage::starting && state.fleet.envelope && has_initial_state;
-    if (!is_ready) {
+    if (state.stage != life_stage::starting || !knows_enough_to_serve(state)) {
         return;
     }
     state.stage = life_stage::serving;
--- a/source/control/fleet_adoption.h
+++ b/source/control/fleet_adoption.h
@@ -40,7 +40,7 @@
 /// all changes since are known. Empty if none is newer.
 std::string encoded_change_since(const control_state& state, generation have);
 
-/// Starts serving once the configuration in force is known from the platform or, if the platform
+/// Starts serving once this host knows enough (see inventory_sync.h), from the platform or, if that
 /// cannot be reached, from a peer.
 void start_serving_if_ready(control_state& state, const event& e, effects& out);
 
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -423,10 +423,17 @@
     }
 }
 
-bool is_inventory_known(const control_state& state)
+bool knows_enough_to_serve(const control_state& state)
 {
-    return !state.self.has_inventory ||
-           list_of(state.inventory, inventory_kind::targets).is_complete;
+    if (!state.fleet.envelope) {
+        return false;
+    }
+    if (!state.self.has_inventory) {
+        return state.fleet.platform_answered;
+    }
+    return std::ranges::all_of(lists_needed_to_serve, [&](const inventory_kind kind) {
+        return list_of(state.inventory, kind).is_complete;
+    });
 }
 
 double cold_share(const control_state& state, const target& t)
--- a/source/control/inventory_sync.h
+++ b/source/control/inventory_sync.h
@@ -4,6 +4,8 @@
 #include "control/event.h"
 #include "control/state.h"
 
+#include <array>
+
 /// Keeps this host's copy of a store's inventory: configuration, targets, evacuations and hosts.
 ///
 /// A few hosts follow the store (see store_followers.h): they read each list completely once and
@@ -44,8 +46,15 @@
 /// does not list them when there is an inventory.
 void apply_inventory_to_fleet(control_state& state);
 
-/// Whether the list of targets is known, which a host needs before it serves.
-bool is_inventory_known(const control_state& state);
+/// The lists that a host must know completely before it serves: the targets to use, the failure
+/// domains whose targets must not be used, and the hosts that share cold targets and are named in
+/// look-up answers.
+inline constexpr std::array lists_needed_to_serve{
+    inventory_kind::targets, inventory_kind::evacuations, inventory_kind::hosts};
+
+/// Whether this host knows all that it must know before it serves: a configuration, and the lists
+/// above or, without an inventory, what the platform has answered.
+bool knows_enough_to_serve(const control_state& state);
 
 /// Requests per second that this host may send to a cold target; 0 on most hosts.
 double cold_share(const control_state& state, const target& t);
--- a/source/control/store_followers.cpp
+++ b/source/control/store_followers.cpp
@@ -81,6 +81,9 @@
 /// How old a confirmation may become before the first standby queries the store itself.
 std::chrono::milliseconds takeover_age(const control_state& state, inventory_kind kind)
 {
+    if (!list_of(state.inventory, kind).is_complete) {
+        return state.self.max_propagation_delay - takeover_margin; // The host cannot serve yet.
+    }
     switch (kind) {
     case inventory_kind::configuration:
     case inventory_kind::targets:
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -271,7 +271,7 @@
 
 class inventory_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(inventory_test);
-    CPPUNIT_TEST(serves_once_configuration_and_targets_are_known);
+    CPPUNIT_TEST(serves_once_configuration_and_all_lists_are_known);
     CPPUNIT_TEST(host_changes_cost_one_snapshot_per_tick);
     CPPUNIT_TEST(lists_come_in_pages);
     CPPUNIT_TEST(a_page_that_ends_with_an_unreadable_name_is_followed_by_the_next);
@@ -335,7 +335,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<publish_effect>(out));
     }
 
-    void serves_once_configuration_and_targets_are_known()
+    /// Guards against a host that uses the targets of an evacuated failure domain, or all of the
+    /// rate of a cold target, as it serves before it has read the evacuations or the other hosts.
+    void serves_once_configuration_and_all_lists_are_known()
     {
         auto state = make_state();
         const auto emitted = reduce(state, at(milliseconds(1), tick_event{}));
@@ -343,10 +345,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<register_host_effect>(emitted));
         answer(state, milliseconds(2), inventory_kind::configuration, {configuration_of(1)}, 5);
         CPPUNIT_ASSERT(state.stage == life_stage::starting);
+        answer(state, milliseconds(3), inventory_kind::targets,
+               {item_of(target_of("t")), item_of(target_of("u", "b"))}, 5);
+        CPPUNIT_ASSERT(state.stage == life_stage::starting);
+        answer(state, milliseconds(4), inventory_kind::hosts, {}, 5);
+        CPPUNIT_ASSERT(state.stage == life_stage::starting);
         const auto published =
-            answer(state, milliseconds(3), inventory_kind::targets, {item_of(target_of("t"))}, 5);
+            answer(state, milliseconds(5), inventory_kind::evacuations,
+                   {{"b", evacuation{failure_domain_id("b")}, store_revision(4)}}, 5);
         CPPUNIT_ASSERT(state.stage == life_stage::serving);
         CPPUNIT_ASSERT(is_usable(published, "t"));
+        CPPUNIT_ASSERT(!is_usable(published, "u"));
     }
 
     void lists_come_in_pages()
--- a/unit_tests/control/store_followers_test.cpp
+++ b/unit_tests/control/store_followers_test.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(restarts_of_followers_copy_no_lists_that_are_the_same);
     CPPUNIT_TEST(a_resumed_follower_reverts_no_changes);
     CPPUNIT_TEST(a_host_that_starts_learns_all_from_its_peers);
+    CPPUNIT_TEST(a_host_that_is_back_alone_serves_with_the_evacuations);
     CPPUNIT_TEST(all_hosts_restart_while_the_store_is_away);
     CPPUNIT_TEST(an_idle_fleet_queries_the_store_rarely_at_any_size);
     CPPUNIT_TEST_SUITE_END();
@@ -296,6 +297,37 @@
         }
     }
 
+    /// Guards against a host that finds no peer, is no follower, and serves before it has read the
+    /// evacuations. It is ready as early as without them.
+    void a_host_that_is_back_alone_serves_with_the_evacuations()
+    {
+        constexpr seconds evacuation_bound{5};
+        constexpr milliseconds latest_start{3'000};
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            store_world_settings settings{3, 2, 2};
+            settings.seed = seed;
+            auto world = make_world(settings);
+            world.put_evacuation("r1-0");
+            world.run_for(evacuation_bound);
+            const auto all = world.hosts();
+            for (const auto& id : all) {
+                world.set_fault(id, host_fault::dead);
+            }
+            world.run_for(seconds(1));
+            const auto& back = all.at(seed % all.size());
+            world.restart(back);
+            const auto began = world.now();
+            while (world.now() - began < latest_start) {
+                world.run_for(milliseconds(50));
+                const auto& state = world.state_of(back);
+                CPPUNIT_ASSERT_MESSAGE(
+                    back.value, state.stage != life_stage::serving ||
+                                    state.inventory.evacuated.contains(failure_domain_id("r1-0")));
+            }
+            CPPUNIT_ASSERT_MESSAGE(back.value, world.state_of(back).stage == life_stage::serving);
+        }
+    }
+
     /// Some hosts keep serving; the restarted ones copy all their state from them.
     void all_hosts_restart_while_the_store_is_away()
     {
