Answer 503 from a host that is stopped before it served

A stop takes a host that never served from that stage to the one of leaving, so that requests were checked against no routes at all.

Ruled out: the way requests are checked; with routes the same host answers 200.

A leaving host that learns the rest serves the callers that still come. Look-ups and readiness go by the same flag, so that they are refused as well.

Failed before: a_host_that_is_stopped_before_it_served_is_not_ready.

--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -221,6 +221,7 @@
     retain_entries(list.content, list.seen);
     list.seen.clear();
     list.page_after.clear();
+    state.snapshot_is_stale = state.snapshot_is_stale || !list.is_complete;
     list.is_complete = true;
     list.needs_whole_copy = false;
     list.is_following = true;
--- a/source/control/peer_inventory.cpp
+++ b/source/control/peer_inventory.cpp
@@ -245,6 +245,7 @@
     }
     list.at = copy.at.at(i);
     list.changed = list.at;
+    state.snapshot_is_stale = state.snapshot_is_stale || !list.is_complete;
     list.is_complete = true;
     list.behind_since = {};
     if (is_whole) {
--- a/source/control/snapshot_builder.cpp
+++ b/source/control/snapshot_builder.cpp
@@ -164,7 +164,8 @@
 snapshot_ptr build_snapshot(const control_state& state)
 {
     boost::intrusive_ptr<routing_snapshot> snapshot(new routing_snapshot);
-    snapshot->ready = state.stage != life_stage::starting;
+    // A host may be stopped before it has served.
+    snapshot->ready = state.stage != life_stage::starting && knows_enough_to_serve(state);
     snapshot->leaving = state.stage == life_stage::leaving || state.stage == life_stage::ending;
     snapshot->stop_deadline = state.stop_deadline;
     snapshot->home = region_of(state.fleet.configuration, state.self.domain);
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -201,6 +201,18 @@
     return false;
 }
 
+/// Whether the latest snapshot lets the host serve.
+bool is_ready(const effects& all)
+{
+    bool ready = false;
+    for (const auto& e : all) {
+        if (const auto* published = std::get_if<publish_effect>(&e)) {
+            ready = published->snapshot->ready;
+        }
+    }
+    return ready;
+}
+
 std::size_t decisions_of(const effects& all, std::string_view kind)
 {
     return static_cast<std::size_t>(std::ranges::count_if(all, [&](const effect& e) {
@@ -312,6 +324,7 @@
     CPPUNIT_TEST(an_answer_of_an_earlier_era_changes_nothing);
     CPPUNIT_TEST(an_answer_without_an_era_is_one_of_the_known_era);
     CPPUNIT_TEST(a_peer_of_an_earlier_version_has_the_known_era);
+    CPPUNIT_TEST(a_host_that_is_stopped_before_it_served_is_not_ready);
     CPPUNIT_TEST(a_bounded_stop_leaves_time_for_running_requests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -994,6 +1007,21 @@
                        monotonic_time(seconds(4)));
     }
 
+    /// Guards against 404 for routes that exist, from a stopping host that knows no route yet.
+    void a_host_that_is_stopped_before_it_served_is_not_ready()
+    {
+        auto state = make_state();
+        state.self.stop_grace = seconds(6);
+        reduce(state, at(milliseconds(1), tick_event{}));
+        CPPUNIT_ASSERT(!is_ready(reduce(state, at(seconds(1), stop_requested_event{}))));
+        answer(state, seconds(2), inventory_kind::configuration, {configuration_of(1)}, 5);
+        answer(state, seconds(2), inventory_kind::targets, {item_of(target_of("t"))}, 5);
+        answer(state, seconds(2), inventory_kind::hosts, {}, 5);
+        const auto published = answer(state, seconds(2), inventory_kind::evacuations, {}, 5);
+        CPPUNIT_ASSERT(is_ready(published)); // Callers that still come are served.
+        CPPUNIT_ASSERT(!live_hosts(state).contains(state.self.host));
+    }
+
     void a_bounded_stop_leaves_time_for_running_requests()
     {
         auto state = serving_state({});
