Keep heartbeats after a pause out of the future

Cause: a host that was paused moves the times of all heartbeats on by the pause at its first tick, also those of messages that it had handled between its resumption and that tick. The time since the last heartbeat is then negative (silence_ms:-12500 in the log), and the heartbeats that the dead host may have sent since, estimated from it, wrap around to a number that no heartbeat reaches.

Change: no heartbeat is later than the tick.

Failed before: a_heartbeat_after_a_pause_is_not_in_the_future.

--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -270,7 +270,8 @@
     if (was_paused) {
         membership.resumed = now;
         for (auto& [id, m] : membership.members) {
-            m.last_advance += gap;
+            // Messages that waited during the pause may have been handled before this tick.
+            m.last_advance = std::min(m.last_advance + gap, now);
         }
     }
     membership.last_tick = now;
--- a/unit_tests/control/inventory_test.cpp
+++ b/unit_tests/control/inventory_test.cpp
@@ -325,6 +325,7 @@
     CPPUNIT_TEST(an_answer_without_an_era_is_one_of_the_known_era);
     CPPUNIT_TEST(a_peer_of_an_earlier_version_has_the_known_era);
     CPPUNIT_TEST(a_host_that_is_stopped_before_it_served_is_not_ready);
+    CPPUNIT_TEST(a_heartbeat_after_a_pause_is_not_in_the_future);
     CPPUNIT_TEST(a_bounded_stop_leaves_time_for_running_requests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -1022,6 +1023,21 @@
         CPPUNIT_ASSERT(!live_hosts(state).contains(state.self.host));
     }
 
+    /// Guards against a death that no heartbeat refutes: the heartbeats that a dead host may have
+    /// sent are estimated from the time since its last one, which was negative.
+    void a_heartbeat_after_a_pause_is_not_in_the_future()
+    {
+        auto state = serving_state({});
+        reduce(state, at(seconds(1), tick_event{}));
+        gossip_message message;
+        message.from = make_host(2).id;
+        message.heartbeats.push_back({message.from, incarnation(1), 7});
+        reduce(state, at(seconds(16), gossip_event{message}));
+        reduce(state, at(seconds(16), tick_event{}));
+        const auto& known = state.membership.members.at(message.from);
+        CPPUNIT_ASSERT(known.last_advance <= monotonic_time(seconds(16)));
+    }
+
     void a_bounded_stop_leaves_time_for_running_requests()
     {
         auto state = serving_state({});
