Probe all hosts of the fleet in one ring

Cause: hosts were probed only by hosts of their own failure domain, in domains of three hosts and more, and a host of such a domain gave all others the timeout of far hosts. A domain of one or two hosts, or one that is lost as a whole, had nobody to find it dead.

Ruled out: slow gossip (nobody knew of the death); the near timeout alone (no help for large domains and other regions).

Change: one ring over all hosts, in which those of each domain are spread evenly; more neighbours are pinged while all pinged ones are silent; all hosts of fleets up to 256 are told of a death; a host that receives nothing itself declares nobody dead; hosts without a newer heartbeat are pinged in place of being declared dead.

Why it works: each host has a live predecessor that pings it, whichever hosts are lost together, and a death no longer rests on gossip that happens to bring no heartbeat.

--- a/source/control/fleet_adoption.cpp
+++ b/source/control/fleet_adoption.cpp
@@ -371,6 +371,7 @@
     const auto code = code_of(read.object);
     const bool answered = code == result_code::ok || code == result_code::platform_not_found;
     f.platform_reachable = answered;
+    f.last_answer = answered ? e.now : f.last_answer;
     f.failures = answered ? 0 : f.failures + 1;
     f.next_watch = answered && f.envelope ? e.now : e.now + backoff(state);
     if (code == result_code::ok) {
--- a/source/control/inventory_sync.cpp
+++ b/source/control/inventory_sync.cpp
@@ -100,6 +100,9 @@
     auto& f = state.fleet;
     const bool changed = answers != f.platform_reachable;
     f.platform_reachable = answers;
+    if (answers) {
+        f.last_answer = e.now;
+    }
     if (changed && answers) {
         state.inventory.reachable_since = e.now;
     }
--- a/source/control/membership.cpp
+++ b/source/control/membership.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::seconds death_gossip_time{60};
 /// Deaths more recent than this take precedence over other heartbeats.
 constexpr std::chrono::seconds urgent_death_time{10};
+/// A death is told to all hosts of fleets up to this size, since each may name the dead host in
+/// look-up answers; in larger ones to a few of each other failure domain.
+constexpr std::size_t max_hosts_notified_of_death = 256;
 constexpr std::size_t hosts_notified_per_other_domain = 4;
 /// One message in three goes to another failure domain.
 constexpr std::uint64_t cross_domain_interval = 3;
@@ -277,8 +280,8 @@
     membership.last_tick = now;
 }
 
-/// Declares a neighbour dead after an unrefuted suspicion. Notifies the failure domain and a few
-/// hosts of each other domain, where gossip propagates the death further.
+/// Declares a neighbour dead after an unrefuted suspicion and notifies the others. Gossip
+/// propagates the death to those that miss it.
 void confirm_suspicion(control_state& state, const event& e, const host_id& id, effects& out)
 {
     auto& m = state.membership.members.at(id);
@@ -291,9 +294,10 @@
     auto message = make_message(state);
     message.heartbeats.push_back({id, m.life, m.beat, m.leaving, true, m.starting});
     std::map<failure_domain_id, std::size_t> notified;
+    const bool to_all = state.fleet.configuration.hosts.size() <= max_hosts_notified_of_death;
     for (const auto& [other, h] : state.fleet.configuration.hosts) {
-        const bool is_enough =
-            h.domain != state.self.domain && notified[h.domain] >= hosts_notified_per_other_domain;
+        const bool is_enough = !to_all && h.domain != state.self.domain &&
+                               notified[h.domain] >= hosts_notified_per_other_domain;
         if (other != state.self.host && other != id && !is_enough) {
             ++notified[h.domain];
             out.emplace_back(send_gossip_effect{h.peers, message});
@@ -303,6 +307,27 @@
     }
 }
 
+/// Hosts that are probed are declared dead only if they do not answer.
+void declare_silent_hosts_dead(control_state& state, const event& e, const domain_set& domains,
+                               effects& out)
+{
+    const auto& hosts = state.fleet.configuration.hosts;
+    const bool is_probed = is_probed_fleet(state);
+    const auto far = far_timeout(hosts.size());
+    const auto near = is_probed ? far : near_timeout(count_hosts(state, domains));
+    for (auto& [id, m] : state.membership.members) {
+        if (!m.alive || e.now - m.last_advance <= std::min(near, far) ||
+            (is_probed && hosts.contains(id))) {
+            continue;
+        }
+        const bool is_of_near = is_near(state, domains, id);
+        if (e.now - m.last_advance > (is_of_near ? near : far)) {
+            declare_dead(state, e, id, m, out);
+            m.is_death_confirmed = is_of_near;
+        }
+    }
+}
+
 const endpoint* peer_endpoint(const control_state& state, const host_id& id)
 {
     const auto found = state.fleet.configuration.hosts.find(id);
@@ -339,19 +364,8 @@
     const auto passed = e.now - state.membership.last_tick;
     exclude_own_pause(state.membership, e.now);
     ++state.membership.own_beat;
-    const auto far = far_timeout(state.fleet.configuration.hosts.size());
     const auto domains = near_domains(state);
-    const auto near = is_probed_domain(state) ? far : near_timeout(count_hosts(state, domains));
-    for (auto& [id, m] : state.membership.members) {
-        if (!m.alive || e.now - m.last_advance <= std::min(near, far)) {
-            continue;
-        }
-        const bool is_of_near = is_near(state, domains, id);
-        if (e.now - m.last_advance > (is_of_near ? near : far)) {
-            declare_dead(state, e, id, m, out);
-            m.is_death_confirmed = is_of_near;
-        }
-    }
+    declare_silent_hosts_dead(state, e, domains, out);
     for (const auto& id : tick_probing(state, e.now, out)) {
         confirm_suspicion(state, e, id, out);
     }
@@ -363,6 +377,7 @@
                    effects& out)
 {
     state.clock = advance(state.clock, message.time, e.wall);
+    state.membership.last_message = e.now;
     const auto* peer = peer_endpoint(state, message.from);
     const auto& answer_to = peer != nullptr ? *peer : message.reply_address;
     if (answer_to.port != 0) {
--- a/source/control/probing.cpp
+++ b/source/control/probing.cpp
@@ -10,11 +10,39 @@
 
 namespace {
 
-std::uint64_t ring_place(const host_id& id)
+constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2 to the power of 64
+
+std::uint64_t ring_hash(const std::string& name)
 {
-    // Makes this order differ from other rankings of hosts by hash.
+    // Makes this order differ from other rankings by hash.
     constexpr std::uint64_t seed = 0x52494e47;
-    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), seed);
+    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
+/// A host and its place on the ring, from 0 to 1.
+struct ring_host {
+    const host* listed_host = nullptr;
+    double place = 0;
+};
+
+/// Spreads the hosts of each failure domain evenly over the ring, from a place of its own on.
+std::vector<ring_host> make_ring(const fleet& f)
+{
+    std::map<failure_domain_id, std::vector<std::pair<std::uint64_t, const host*>>> by_domain;
+    for (const auto& [id, h] : f.hosts) {
+        by_domain[h.domain].emplace_back(ring_hash(id.value), &h);
+    }
+    std::vector<ring_host> ring;
+    for (auto& [domain, of_domain] : by_domain) {
+        std::ranges::sort(of_domain);
+        const auto first = static_cast<double>(ring_hash(domain.value)) / hash_range;
+        for (std::size_t i = 0; i < of_domain.size(); ++i) {
+            const auto place =
+                (static_cast<double>(i) + first) / static_cast<double>(of_domain.size());
+            ring.push_back({of_domain[i].second, place});
+        }
+    }
+    return ring;
 }
 
 bool is_declared_dead(const control_state& state, const host_id& id)
@@ -23,19 +51,39 @@
     return found != state.membership.members.end() && !found->second.alive;
 }
 
-/// The other hosts of the failure domain that are not dead, in ring order from this host's
-/// successor.
+/// The other hosts that are not dead. The first `max_neighbours_pinged` of them are in ring order
+/// from this host's successor.
 std::vector<const host*> neighbours(const control_state& state)
 {
-    const auto own = ring_place(state.self.host);
-    std::vector<const host*> ring;
-    for (const auto* h : hosts_of(state.fleet.configuration, state.self.domain)) {
-        if (h->id != state.self.host && !is_declared_dead(state, h->id)) {
-            ring.push_back(h);
-        }
+    auto ring = make_ring(state.fleet.configuration);
+    const auto self = std::ranges::find_if(
+        ring, [&](const ring_host& r) { return r.listed_host->id == state.self.host; });
+    const auto own = self == ring.end() ? 0 : self->place;
+    std::erase_if(ring, [&](const ring_host& r) {
+        return r.listed_host->id == state.self.host || is_declared_dead(state, r.listed_host->id);
+    });
+    for (auto& r : ring) {
+        r.place -= r.place >= own ? own : own - 1; // The distance from this host.
     }
-    std::ranges::sort(ring, {}, [&](const host* h) { return ring_place(h->id) - own; });
-    return ring;
+    const auto ordered = std::min(ring.size(), max_neighbours_pinged);
+    std::ranges::partial_sort(ring, ring.begin() + static_cast<std::ptrdiff_t>(ordered),
+                              [](const ring_host& x, const ring_host& y) {
+                                  return std::tie(x.place, x.listed_host->id) <
+                                         std::tie(y.place, y.listed_host->id);
+                              });
+    std::vector<const host*> hosts;
+    hosts.reserve(ring.size());
+    for (const auto& r : ring) {
+        hosts.push_back(r.listed_host);
+    }
+    return hosts;
+}
+
+/// Whether a message of another host or an answer of the store has arrived since. Otherwise this
+/// host may be cut off, and the silence of others tells nothing about them.
+bool has_received_since(const control_state& state, monotonic_time when)
+{
+    return state.membership.last_message >= when || state.fleet.last_answer >= when;
 }
 
 member_heartbeat known_beat(const control_state& state, const host_id& id)
@@ -96,55 +144,100 @@
     }
 }
 
+/// Pings a host and suspects it once it is silent. Returns whether it is dead.
+bool probe(control_state& state, monotonic_time now, const host& h,
+           const std::vector<const host*>& ring, effects& out)
+{
+    auto& p = state.membership.probed[h.id];
+    if (p.silent_since == monotonic_time{}) {
+        p.silent_since = now;
+    }
+    if (now - p.last_ping >= host_probe_interval) {
+        p.last_ping = now;
+        send_ping(state, h, out);
+    }
+    if (!state.membership.members.contains(h.id)) {
+        return false; // No heartbeat received yet: it may not have started.
+    }
+    const bool is_suspected = p.suspected_at != monotonic_time{};
+    if (!is_suspected && now - p.silent_since < suspicion_threshold) {
+        return false;
+    }
+    if (!is_suspected) {
+        p.suspected_at = now;
+    } else if (now - p.suspected_at >= suspicion_timeout &&
+               has_received_since(state, p.suspected_at)) {
+        return true;
+    }
+    if (now - p.last_indirect_ping >= indirect_ping_interval) {
+        p.last_indirect_ping = now;
+        request_indirect_pings(state, h, ring, out);
+    }
+    return false;
+}
+
+/// Hosts of the ring without a newer heartbeat for long. Gossip may merely have brought none.
+std::vector<const host*> overdue_hosts(const control_state& state,
+                                       const std::vector<const host*>& ring, monotonic_time now)
+{
+    const auto timeout = far_timeout(state.fleet.configuration.hosts.size());
+    std::vector<const host*> overdue;
+    for (const auto* h : ring) {
+        const auto found = state.membership.members.find(h->id);
+        const bool is_overdue = found != state.membership.members.end() && found->second.alive &&
+                                now - found->second.last_advance > timeout;
+        if (is_overdue && overdue.size() < max_neighbours_pinged) {
+            overdue.push_back(h);
+        }
+    }
+    return overdue;
+}
+
 } // namespace
 
-bool is_probed_domain(const control_state& state)
+bool is_probed_fleet(const control_state& state)
 {
-    return hosts_of(state.fleet.configuration, state.self.domain).size() >= min_probed_hosts;
+    return state.fleet.configuration.hosts.size() >= min_probed_hosts;
 }
 
 std::vector<host_id> tick_probing(control_state& state, monotonic_time now, effects& out)
 {
     auto& membership = state.membership;
     std::vector<host_id> dead;
-    std::set<host_id> pinged;
     std::erase_if(membership.indirect_pings,
                   [&](const auto& entry) { return now >= entry.second.until; });
-    if (!is_probed_domain(state)) {
+    if (!is_probed_fleet(state)) {
         membership.probed.clear();
         return dead;
     }
     const auto ring = neighbours(state);
+    std::set<host_id> pinged;
+    const auto probe_once = [&](const host& h) {
+        pinged.insert(h.id);
+        if (probe(state, now, h, ring, out)) {
+            dead.push_back(h.id);
+        }
+    };
+    std::size_t to_ping = 1;
+    bool are_all_silent = true;
     for (const auto* h : ring) {
-        if (pinged.size() >= max_neighbours_pinged) {
+        if (pinged.size() >= std::min(to_ping, max_neighbours_pinged)) {
             break;
         }
-        pinged.insert(h->id);
-        auto& p = membership.probed[h->id];
-        if (p.silent_since == monotonic_time{}) {
-            p.silent_since = now;
+        probe_once(*h);
+        if (!membership.members.contains(h->id)) {
+            ++to_ping;
+            continue;
         }
-        if (now - p.last_ping >= host_probe_interval) {
-            p.last_ping = now;
-            send_ping(state, *h, out);
+        const auto silence = now - membership.probed.at(h->id).silent_since;
+        are_all_silent = are_all_silent && silence >= next_neighbour_delay;
+        if (are_all_silent) {
+            to_ping = std::max(to_ping, 2 * pinged.size() + 1);
         }
-        if (!state.membership.members.contains(h->id)) {
-            continue; // No heartbeat received yet: it may not have started.
-        }
-        const auto silence = now - p.silent_since;
-        const bool is_suspected = p.suspected_at != monotonic_time{};
-        if (is_suspected && now - p.suspected_at >= suspicion_timeout) {
-            dead.push_back(h->id);
-        } else if (!is_suspected && silence >= suspicion_threshold) {
-            p.suspected_at = now;
-            p.last_indirect_ping = now;
-            request_indirect_pings(state, *h, ring, out);
-        } else if (is_suspected && now - p.last_indirect_ping >= indirect_ping_interval) {
-            p.last_indirect_ping = now;
-            request_indirect_pings(state, *h, ring, out);
-        }
-        if (silence < next_neighbour_delay) {
-            break;
+    }
+    for (const auto* h : overdue_hosts(state, ring, now)) {
+        if (!pinged.contains(h->id)) {
+            probe_once(*h);
         }
     }
     drop_unpinged(membership.probed, pinged);
--- a/source/control/state.h
+++ b/source/control/state.h
@@ -72,7 +72,8 @@
     std::map<host_id, member> members; ///< other hosts only
     std::uint64_t own_beat = 0;
     monotonic_time last_tick{};
-    monotonic_time resumed{}; ///< when this process last ran again after a pause
+    monotonic_time resumed{};      ///< when this process last ran again after a pause
+    monotonic_time last_message{}; ///< when gossip of another host last arrived
     wall_time last_wall_tick{};
     double gossip_credit = 0; ///< token bucket level in bytes
     std::uint64_t gossip_messages_sent =
@@ -93,6 +94,7 @@
     object_version platform_version = 0;
     bool platform_answered = false; ///< a call has completed, successfully or not
     bool platform_reachable = false;
+    monotonic_time last_answer{}; ///< when a call to the platform last succeeded
     bool watch_running = false;
     bool write_running = false;
     unsigned failures = 0; ///< consecutive failures of platform calls
--- a/unit_tests/control/probing_test.cpp
+++ b/unit_tests/control/probing_test.cpp
@@ -67,6 +67,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, false_deaths(world));
 }
 
+/// Kills all hosts for which `dies` holds. No look-up answer of a live host may name one of them
+/// later than a caller may rely on it.
+void check_mass_death(const store_world_settings& settings,
+                      const std::function<bool(const control_state&)>& dies)
+{
+    constexpr milliseconds named_for{6'000};
+    store_world world(settings);
+    world.run_for(warm_up);
+    std::vector<host_id> dead;
+    for (const auto& id : world.hosts()) {
+        if (dies(world.state_of(id))) {
+            dead.push_back(id);
+            world.set_fault(id, host_fault::dead);
+        }
+    }
+    world.run_for(named_for);
+    const auto text = std::to_string(world.hosts().size()) + " hosts, " +
+                      std::to_string(dead.size()) + " dead, seed " + std::to_string(settings.seed);
+    for (const auto& id : dead) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text + ", " + id.value, std::size_t{0},
+                                     hosts_considering_alive(world, id, true) +
+                                         hosts_considering_alive(world, id, false));
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{0}, false_deaths(world));
+}
+
+bool is_in(const control_state& state, const std::string& domain_prefix)
+{
+    return state.self.domain.value.starts_with(domain_prefix);
+}
+
 } // namespace
 
 class probing_test : public CppUnit::TestFixture {
@@ -144,6 +175,51 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(small_domains_test);
 
+class lost_domains_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(lost_domains_test);
+    CPPUNIT_TEST(a_lost_domain_is_known_everywhere);
+    CPPUNIT_TEST(a_lost_region_is_known_everywhere);
+    CPPUNIT_TEST(the_loss_of_all_others_is_known);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against look-up answers that name the hosts of a lost failure domain, whose own hosts
+    /// would have found each other dead, for as long as heartbeats of far hosts may take.
+    void a_lost_domain_is_known_everywhere()
+    {
+        const auto dies = [](const control_state& state) { return is_in(state, "r0-0"); };
+        for (const std::size_t hosts_per_domain : {1, 2, 3, 11}) {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                check_mass_death({3, 2, hosts_per_domain, 0.01, seed, milliseconds(3'000)}, dies);
+            }
+        }
+        check_mass_death({3, 3, 22, 0.01, 1, milliseconds(3'000)}, dies);
+    }
+
+    void a_lost_region_is_known_everywhere()
+    {
+        const auto dies = [](const control_state& state) { return is_in(state, "r0-"); };
+        for (const std::size_t hosts_per_domain : {1, 2, 4, 11}) {
+            check_mass_death({3, 2, hosts_per_domain, 0.01, 3, milliseconds(3'000)}, dies);
+        }
+    }
+
+    /// The last host hears from nobody, but the store answers it.
+    void the_loss_of_all_others_is_known()
+    {
+        for (const std::size_t hosts_per_domain : {1, 2}) {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                check_mass_death({3, 2, hosts_per_domain, 0, seed, milliseconds(3'000)},
+                                 [](const control_state& state) {
+                                     return state.self.host.value != "edge-r1-0-0";
+                                 });
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lost_domains_test);
+
 class many_deaths_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(many_deaths_test);
     CPPUNIT_TEST(many_deaths_at_once_are_known_soon);
