--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -111,7 +111,7 @@
 
 write_manifest() { # version routes services
     local spec
-    spec="{\"version\":\"$1\",\"routes\":[$2],\"services\":[$3],\"limits\":{\"max_header_bytes\":${max_header_bytes:-16384},\"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+    spec="{\"version\":\"$1\",\"routes\":[$2],\"services\":[$3],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
     local object="{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}"
     local status
     status=$(call "$store" PUT /-/objects/config/main "$object")
--- a/review/stand-ins-3/backend.cpp
+++ b/review/stand-ins-3/backend.cpp
@@ -2,8 +2,8 @@
 //   backend --listen IP:PORT --id ID --service NAME --zone ZONE --store IP:PORT --runs FILE
 //           [--spoil-after S --spoil-for S --spoil-every N]
 // With `spoil`, the backend is faulty for that time: it breaks the framing of each Nth answer.
-// The application behind it: `work` in the query is the time that a request takes (ms), `bytes` the
-// size of its answer, `over` the time over which the answer's bytes become available (ms).
+// The application behind it: `work` in the query is the time that a request takes (ms) and `bytes`
+// the size of its answer.
 #include "net.h"
 
 #include <condition_variable>
@@ -96,28 +96,6 @@
     return body;
 }
 
-bool send_body(int fd, const std::string& body, milliseconds over)
-{
-    constexpr milliseconds step{20};
-    const auto steps = std::max<std::size_t>(1, static_cast<std::size_t>(over / step));
-    const auto piece = (body.size() + steps - 1) / steps;
-    for (std::size_t at = 0; at < body.size(); at += piece) {
-        if (!send_all(fd, body.data() + at, std::min(piece, body.size() - at))) {
-            return false;
-        }
-        if (steps > 1) {
-            std::this_thread::sleep_for(step);
-        }
-    }
-    return true;
-}
-
-bool send_continue(int fd, const message& m)
-{
-    return lower(m.header("expect")) != "100-continue" ||
-           send_all(fd, "HTTP/1.1 100 Continue\r\n\r\n");
-}
-
 bool answer(int fd, const message& m)
 {
     const auto target = m.word(1);
@@ -151,9 +129,7 @@
         "\r\nX-Server-Load: " + load() +
         "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) +
         "\r\n\r\n";
-    const bool sent = send_all(fd, head) &&
-                      (m.word(0) == "HEAD" ||
-                       send_body(fd, body, milliseconds(number(parameter(target, "over"), 0))));
+    const bool sent = send_all(fd, m.word(0) == "HEAD" ? head : head + body);
     give_slot();
     return sent;
 }
@@ -162,8 +138,7 @@
 {
     reader in(fd);
     message m;
-    while (in.read(m, clock::now() + std::chrono::seconds(60), true, send_continue) ==
-           read_result::ok) {
+    while (in.read(m, clock::now() + std::chrono::seconds(60)) == read_result::ok) {
         if (!answer(fd, m)) {
             return;
         }
--- a/review/stand-ins-3/client.cpp
+++ b/review/stand-ins-3/client.cpp
@@ -1,12 +1,8 @@
 // Stand-in for clients. Each attempt has its own id, and each answer is checked against the
 // backend's seal. One line is printed per attempt: time, id, request, verdict.
 //   client load      --lookups IP:PORT,... --host H --method M --path P --threads N --for S
-//                    [--gap MS] [--deadline MS] [--kind NAME] [--body TEXT] [--cookie BYTES]
+//                    [--gap MS] [--deadline MS] [--kind NAME] [--body TEXT]
 //       N clients that ask the directory where to connect and keep their connections.
-//   client head      --at IP:PORT --host H --head P --get P
-//       A HEAD request and then a GET request on one connection.
-//   client pipeline  --at IP:PORT --host H --first P --second P [--sequential 1]
-//       Two idempotent requests on one connection, the second of them while the first is answered.
 // In a path, `@` is replaced by a number that differs with each attempt.
 #include "net.h"
 
@@ -79,12 +75,10 @@
 
 std::string request_text(const std::string& method, const std::string& path,
                          const std::string& host, const std::string& id,
-                         const std::string& deadline, const std::string& body,
-                         std::uint64_t cookie = 0)
+                         const std::string& deadline, const std::string& body)
 {
     return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id +
            "\r\nX-Deadline-Ms: " + deadline + "\r\n" +
-           (cookie == 0 ? "" : "Cookie: session=" + std::string(cookie, 'c') + "\r\n") +
            (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
            "\r\n" + body;
 }
@@ -123,7 +117,6 @@
 struct load_options {
     std::vector<std::string> directories;
     std::string place, host, method, path, deadline, kind, body;
-    std::uint64_t cookie = 0;
     milliseconds gap{0};
     clock::time_point end;
 };
@@ -166,7 +159,7 @@
         message m;
         if (fd >= 0) {
             const auto limit = clock::now() + milliseconds(number(o.deadline, 3'000));
-            send_all(fd, request_text(o.method, path, o.host, id, o.deadline, o.body, o.cookie));
+            send_all(fd, request_text(o.method, path, o.host, id, o.deadline, o.body));
             const auto r = in->read(m, limit);
             result = verdict(r, m, id);
             if (r != read_result::ok || lower(m.header("connection")) == "close") {
@@ -199,7 +192,6 @@
     o.deadline = option(argc, argv, "deadline", "3000");
     o.kind = option(argc, argv, "kind", "request");
     o.body = option(argc, argv, "body");
-    o.cookie = number(option(argc, argv, "cookie"), 0);
     o.gap = milliseconds(number(option(argc, argv, "gap"), 0));
     o.end =
         clock::now() +
@@ -214,98 +206,6 @@
     return 0;
 }
 
-int head(int argc, char** argv)
-{
-    const auto host = option(argc, argv, "host");
-    const auto first_path = option(argc, argv, "head");
-    const auto second_path = option(argc, argv, "get");
-    const auto first = new_id();
-    const auto second = new_id();
-    const int fd = connect_to(option(argc, argv, "at"), milliseconds(1'000));
-    if (fd < 0) {
-        return 2;
-    }
-    reader in(fd);
-    message m;
-    send_all(fd, request_text("HEAD", first_path, host, first, "3000", ""));
-    // An answer to HEAD has no body, whatever its header says (RFC 9110, 9.3.2).
-    auto r = in.read(m, clock::now() + std::chrono::seconds(4), false);
-    print("head id=" + first + " HEAD " + first_path + " -> " +
-          (r == read_result::ok ? std::to_string(m.status()) : "no answer"));
-    if (r != read_result::ok || lower(m.header("connection")) == "close") {
-        close(fd);
-        print("get not sent: the connection is closed");
-        return 0;
-    }
-    send_all(fd, request_text("GET", second_path, host, second, "3000", ""));
-    r = in.read(m, clock::now() + std::chrono::seconds(4));
-    const auto result = verdict(r, m, second);
-    print("get id=" + second + " GET " + second_path + " -> " + result);
-    close(fd);
-    return result.rfind("served", 0) == 0 ? 0 : 1;
-}
-
-// The second request has a body and asks for leave to send it, as for any larger body: the client
-// sends the body once `100 Continue` has come as the first answer to that request, or after a
-// while.
-int pipeline(int argc, char** argv)
-{
-    const auto host = option(argc, argv, "host");
-    const bool is_sequential = !option(argc, argv, "sequential").empty();
-    const auto first_path = option(argc, argv, "first");
-    const auto second_path = option(argc, argv, "second");
-    const auto first = new_id();
-    const auto second = new_id();
-    const int fd = connect_to(option(argc, argv, "at"), milliseconds(1'000));
-    if (fd < 0) {
-        return 2;
-    }
-    const std::string body(2'000, 'b');
-    const auto second_head = "PUT " + second_path + " HTTP/1.1\r\nHost: " + host +
-                             "\r\nX-Request-Id: " + second +
-                             "\r\nX-Deadline-Ms: 4000\r\nExpect: 100-continue\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n\r\n";
-    reader in(fd);
-    message m;
-    print("first id=" + first + " GET " + first_path + " sent");
-    send_all(fd, request_text("GET", first_path, host, first, "4000", ""));
-    if (!is_sequential) {
-        std::this_thread::sleep_for(milliseconds(400));
-        print("second id=" + second + " PUT " + second_path + " header sent");
-        send_all(fd, second_head);
-    }
-    auto r = in.read(m, clock::now() + std::chrono::seconds(5));
-    auto result = verdict(r, m, first);
-    print("first id=" + first + " -> " + result);
-    bool is_good = result.rfind("served", 0) == 0;
-    if (const auto at = m.body.find("HTTP/1.1 100"); at != std::string::npos) {
-        print("first id=" + first + " its body holds 'HTTP/1.1 100 Continue' at byte " +
-              std::to_string(at) + " of " + std::to_string(m.body.size()));
-    }
-    if (is_sequential) {
-        print("second id=" + second + " PUT " + second_path + " header sent");
-        send_all(fd, second_head);
-    }
-    r = in.read(m, clock::now() + std::chrono::seconds(1));
-    if (r == read_result::ok && m.status() == 100) {
-        print("second id=" + second + " 100 Continue");
-    }
-    if (r == read_result::malformed) {
-        print("second id=" + second + " -> bytes that are no answer: " + in.unread().substr(0, 60));
-        close(fd);
-        return 1;
-    }
-    if (r == read_result::timeout || m.status() == 100) {
-        send_all(fd, body);
-        r = in.read(m, clock::now() + std::chrono::seconds(5));
-    }
-    result = verdict(r, m, second);
-    print("second id=" + second + " -> " + result);
-    close(fd);
-    is_good = is_good && result.rfind("served", 0) == 0;
-    return is_good ? 0 : 1;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -314,12 +214,6 @@
     if (verb == "load") {
         return load(argc, argv);
     }
-    if (verb == "head") {
-        return head(argc, argv);
-    }
-    if (verb == "pipeline") {
-        return pipeline(argc, argv);
-    }
-    std::fprintf(stderr, "client load|head|pipeline ...\n");
+    std::fprintf(stderr, "client load ...\n");
     return 2;
 }
--- a/review/stand-ins-3/net.h
+++ b/review/stand-ins-3/net.h
@@ -169,9 +169,7 @@
 public:
     explicit reader(int fd) : fd_(fd) {}
 
-    // `has_body` is false for a response that has none whatever its header says.
-    read_result read(message& m, clock::time_point deadline, bool has_body = true,
-                     bool (*on_head)(int, const message&) = nullptr)
+    read_result read(message& m, clock::time_point deadline)
     {
         m = {};
         std::size_t end = 0;
@@ -184,12 +182,6 @@
             return read_result::malformed;
         }
         buffer_.erase(0, end + 4);
-        if (on_head != nullptr && !on_head(fd_, m)) {
-            return read_result::closed;
-        }
-        if (!has_body) {
-            return read_result::ok;
-        }
         if (lower(m.header("transfer-encoding")) == "chunked") {
             return read_chunks(m, deadline);
         }
@@ -206,8 +198,6 @@
         return read_result::ok;
     }
 
-    const std::string& unread() const { return buffer_; }
-
 private:
     read_result more(clock::time_point deadline)
     {
