Let the address decide what is served, never the path

Cause: serve_next compared each path with those of look-ups and readiness checks on every connection. A connection did not know at which listener it had been accepted. Ruled out: a late configuration (other paths of the route were served at the same time) and the method (all were answered alike).

Change: a listener has a role, its connections keep it, and the role alone decides what is served. At the callers' address every request is routed. At the addresses of look-ups and readiness checks nothing is: their own path by GET, 405 with Allow for other methods, 404 (3026) for other paths, without a body for HEAD. Where our own interface has one address for callers and look-ups, the path of look-ups is reserved and documented. Our own interface gets a path for readiness checks, as its setting for their address had none. The log line at the start names all addresses.

--- a/source/almondquayd/daemon.cpp
+++ b/source/almondquayd/daemon.cpp
@@ -10,8 +10,10 @@
 #include "platform/traffic_profile.h"
 #include "store/http_object_store.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <initializer_list>
 #include <sstream>
 
 #include <boost/asio/io_context.hpp>
@@ -248,17 +250,6 @@
     return done{};
 }
 
-std::vector<endpoint> listeners_of(const process_settings& settings)
-{
-    std::vector<endpoint> all{{settings.address, settings.caller_port}};
-    for (const auto& extra : {settings.lookups, settings.readiness}) {
-        if (extra.port != 0) {
-            all.push_back(extra);
-        }
-    }
-    return all;
-}
-
 const store_protocol& protocol_of(const process_settings& settings)
 {
     static const store_protocol no_inventory;
@@ -338,6 +329,30 @@
     return done{};
 }
 
+/// The addresses of the listeners with one of these roles, or "none".
+std::string addresses_of(const std::vector<listener>& all,
+                         std::initializer_list<listener_role> roles)
+{
+    std::string text;
+    for (const auto& [at, role] : all) {
+        if (std::ranges::find(roles, role) != roles.end()) {
+            text += (text.empty() ? "" : ",") + to_string(at);
+        }
+    }
+    return text.empty() ? "none" : text;
+}
+
+void log_start(const process_settings& settings)
+{
+    using enum listener_role;
+    const auto all = listeners_of(settings);
+    log::write(log::level::info, "started",
+               {{"callers", addresses_of(all, {callers, callers_and_lookups})},
+                {"lookups", addresses_of(all, {lookups, callers_and_lookups})},
+                {"readiness", addresses_of(all, {readiness})},
+                {"peers", settings.address + ":" + std::to_string(settings.peer_port)}});
+}
+
 } // namespace
 
 result<done> run_daemon(const process_settings& settings)
@@ -350,9 +365,7 @@
     if (!succeeded(opened)) {
         return opened;
     }
-    log::write(log::level::info, "started",
-               {{"callers", settings.address + ":" + std::to_string(settings.caller_port)},
-                {"peers", settings.address + ":" + std::to_string(settings.peer_port)}});
+    log_start(settings);
     d.settings_text = read_file(settings.file);
     wait_for_signal(d);
     handle(d, tick_event{});
--- a/source/common/result_code.cpp
+++ b/source/common/result_code.cpp
@@ -76,6 +76,10 @@
      "The targets take no more requests for now, as they have stated; it was not run."},
     {transfer_coding_unknown, "transfer_coding_unknown",
      "The request's body has a transfer coding that is not known here; it was not run."},
+    {path_unknown, "path_unknown",
+     "Nothing is served under this path at this address; the request was not run."},
+    {method_not_allowed, "method_not_allowed",
+     "The path takes another method; the request was not run."},
 
     {key_missing, "key_missing",
      "The route must not repeat and the request has no key; it was not run."},
--- a/source/common/result_code.h
+++ b/source/common/result_code.h
@@ -61,6 +61,8 @@
     target_withdrawn = 3023,
     targets_limited = 3024,
     transfer_coding_unknown = 3025,
+    path_unknown = 3026,
+    method_not_allowed = 3027,
 
     key_missing = 4001,
     key_malformed = 4002,
--- a/source/traffic/caller_connection.h
+++ b/source/traffic/caller_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "traffic/beast_types.h"
+#include "traffic/listener.h"
 #include "traffic/upstream_pool.h"
 
 #include <cstdint>
@@ -25,12 +26,13 @@
 struct caller_connection
     : boost::intrusive::list_base_hook<>,
       boost::intrusive_ref_counter<caller_connection, boost::thread_unsafe_counter> {
-    explicit caller_connection(tcp::socket socket)
-        : stream(std::move(socket)),
+    caller_connection(tcp::socket socket, listener_role accepted_by)
+        : role(accepted_by), stream(std::move(socket)),
           changed(stream.get_executor(), asio::steady_timer::time_point::max())
     {
     }
 
+    const listener_role role; ///< what is served at the address of its listener
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_caller_buffer_bytes};
     asio::steady_timer changed; ///< cancelled to wake waiters when `current_turn` or `gone` changes
--- a/source/traffic/local_response.cpp
+++ b/source/traffic/local_response.cpp
@@ -38,6 +38,9 @@
         const auto time = retry_after.count() != 0 ? retry_after : default_retry_after;
         answer.set(beast::http::field::retry_after, seconds_text(time));
     }
+    if (code == result_code::method_not_allowed) {
+        answer.set(beast::http::field::allow, "GET");
+    }
     answer.body() = refusal_body(code, request_outcome);
     return answer;
 }
@@ -46,7 +49,7 @@
 
 asio::awaitable<void> send_local_response(worker& w, caller_connection& connection,
                                           std::uint64_t turn, local_response& answer,
-                                          bool keep_alive)
+                                          bool keep_alive, bool is_head)
 {
     const bool is_due = co_await wait_for_turn(connection, turn);
     if (!is_due) {
@@ -57,6 +60,9 @@
     connection.closing = connection.closing || closes;
     answer.keep_alive(!closes);
     answer.prepare_payload();
+    if (is_head) {
+        answer.body().clear(); // The header states the length that the body would have.
+    }
     connection.stream.expires_after(write_timeout);
     error_code problem;
     co_await beast::http::async_write(connection.stream, answer, redirect_error_to(problem));
@@ -72,6 +78,15 @@
     co_await send_local_response(w, connection, turn, refusal, keep_alive);
 }
 
+asio::awaitable<void> refuse_host_request(worker& w, caller_connection& connection,
+                                          std::uint64_t turn, const caller_parser& parser,
+                                          result_code code, bool keep_alive)
+{
+    auto refusal = make_refusal(w, code, outcome::not_run, std::chrono::milliseconds{0});
+    const bool is_head = parser.get().method() == beast::http::verb::head;
+    co_await send_local_response(w, connection, turn, refusal, keep_alive, is_head);
+}
+
 forward_result refused_result(result_code code)
 {
     return {code, outcome::not_run, false, true, std::nullopt};
--- a/source/traffic/local_response.h
+++ b/source/traffic/local_response.h
@@ -10,15 +10,21 @@
 
 using local_response = beast::http::response<beast::http::string_body>;
 
-/// Sends a response when all earlier requests on the connection have been answered.
+/// Sends a response when all earlier requests on the connection have been answered. `is_head`: the
+/// request's method is HEAD, so the body is left out.
 asio::awaitable<void> send_local_response(worker& w, caller_connection& connection,
                                           std::uint64_t turn, local_response& answer,
-                                          bool keep_alive);
+                                          bool keep_alive, bool is_head = false);
 
 /// Sends an error response with the result code, the outcome and, for status 503, Retry-After.
 asio::awaitable<void> refuse(worker& w, caller_connection& connection, std::uint64_t turn,
                              const forward_result& end, bool keep_alive);
 
+/// Refuses a request for this host itself, which `check_host_request` has rejected.
+asio::awaitable<void> refuse_host_request(worker& w, caller_connection& connection,
+                                          std::uint64_t turn, const caller_parser& parser,
+                                          result_code code, bool keep_alive);
+
 /// The result of a request that was refused before it ran.
 forward_result refused_result(result_code code);
 
--- a/source/traffic/lookup.cpp
+++ b/source/traffic/lookup.cpp
@@ -2,6 +2,10 @@
 
 #include "http/message.h"
 #include "traffic/local_response.h"
+#include "traffic/request_rules.h"
+#include "traffic/spill.h"
+
+#include <algorithm>
 
 namespace almondquay {
 
@@ -43,11 +47,30 @@
     return found == nullptr ? std::nullopt : std::optional<std::string>(*found);
 }
 
-} // namespace
+/// The path of a request target without its query. A target in absolute form is a whole URI
+/// (RFC 9112, 3.2.2).
+std::string_view path_of(const caller_parser& parser)
+{
+    const auto target = parser.get().target();
+    std::string_view path(target.data(), target.size());
+    constexpr std::string_view authority_mark = "://";
+    const auto authority = path.find(authority_mark);
+    if (!path.starts_with('/') && authority != std::string_view::npos) {
+        path.remove_prefix(authority + authority_mark.size());
+        path.remove_prefix(std::min(path.find_first_of("/?"), path.size()));
+    }
+    return path.substr(0, path.find('?'));
+}
 
-bool is_ready(const worker& w)
+bool is_lookup(const worker& w, const caller_parser& parser)
 {
-    return w.snapshot && w.snapshot->ready;
+    return path_of(parser) == w.context.profile->lookup_path;
+}
+
+/// Whether another host has routed the request and sent it here for lack of slots.
+bool is_spilled_request(const worker& w, const caller_parser& parser)
+{
+    return is_spilled(w, service_of(parser), parser.get());
 }
 
 asio::awaitable<void> answer_lookup(worker& w, caller_connection& connection, std::uint64_t turn,
@@ -81,4 +104,48 @@
     co_await send_local_response(w, connection, turn, answer, keep_alive);
 }
 
+} // namespace
+
+bool is_ready(const worker& w)
+{
+    return w.snapshot && w.snapshot->ready;
+}
+
+bool is_for_host(const worker& w, const caller_connection& connection, const caller_parser& parser)
+{
+    switch (connection.role) {
+    case listener_role::callers:
+        return false;
+    case listener_role::callers_and_lookups:
+        return is_lookup(w, parser) && !is_spilled_request(w, parser);
+    case listener_role::lookups:
+    case listener_role::readiness:
+        return true;
+    }
+    return true;
+}
+
+result_code check_host_request(const worker& w, const caller_connection& connection,
+                               const caller_parser& parser)
+{
+    const auto& profile = *w.context.profile;
+    const bool is_readiness = connection.role == listener_role::readiness;
+    if (path_of(parser) != (is_readiness ? profile.readiness_path : profile.lookup_path)) {
+        return result_code::path_unknown;
+    }
+    return parser.get().method() == beast::http::verb::get ? result_code::ok
+                                                           : result_code::method_not_allowed;
+}
+
+asio::awaitable<void> answer_host_request(worker& w, caller_connection& connection,
+                                          std::uint64_t turn, const caller_parser& parser,
+                                          bool keep_alive)
+{
+    if (connection.role == listener_role::readiness) {
+        co_await answer_readiness(w, connection, turn, keep_alive);
+    } else {
+        co_await answer_lookup(w, connection, turn, parser, keep_alive);
+    }
+}
+
 } // namespace almondquay
--- a/source/traffic/outcome.cpp
+++ b/source/traffic/outcome.cpp
@@ -32,7 +32,10 @@
         return 408;
     case result_code::service_unknown:
     case result_code::route_unknown:
+    case result_code::path_unknown:
         return 404;
+    case result_code::method_not_allowed:
+        return 405;
     case result_code::key_reused:
         return 422;
     case result_code::claim_still_running:
--- a/source/traffic/request_rules.cpp
+++ b/source/traffic/request_rules.cpp
@@ -17,14 +17,6 @@
 /// One in this many requests is logged even if it succeeds.
 constexpr std::uint64_t sampling_interval = 20;
 
-/// The service is the first label of the Host header: "ledger" or "ledger.example:80".
-std::string service_of(const caller_parser& parser)
-{
-    const auto value = parser.get()[beast::http::field::host];
-    const std::string_view host(value.data(), value.size());
-    return std::string(host.substr(0, host.find_first_of(".:")));
-}
-
 std::chrono::milliseconds deadline_of(const worker& w, const caller_parser& parser,
                                       std::chrono::milliseconds longest)
 {
@@ -87,6 +79,13 @@
 
 } // namespace
 
+std::string service_of(const caller_parser& parser)
+{
+    const auto value = parser.get()[beast::http::field::host];
+    const std::string_view host(value.data(), value.size());
+    return std::string(host.substr(0, host.find_first_of(".:")));
+}
+
 result_code check_request(const worker& w, const caller_parser& parser, const route_rule*& rule)
 {
     if (!is_ready(w)) {
--- a/source/traffic/request_rules.h
+++ b/source/traffic/request_rules.h
@@ -7,6 +7,10 @@
 /// be repeated.
 namespace almondquay {
 
+/// The service that a caller of the built-in interface asks for: the first label of the Host
+/// header, "ledger" or "ledger.example:80".
+std::string service_of(const caller_parser& parser);
+
 /// Returns the reason to refuse a request before its body is read, or ok. Sets `rule` if the
 /// configuration has route rules.
 result_code check_request(const worker& w, const caller_parser& parser, const route_rule*& rule);
--- a/source/traffic/session.cpp
+++ b/source/traffic/session.cpp
@@ -173,11 +173,21 @@
     }
 }
 
-bool is_path(const caller_parser& parser, std::string_view path)
+/// Answers or refuses a request for this host itself. Neither depends on a target.
+asio::awaitable<void> serve_host_request(worker& w, running_request& running, bool keep_alive)
 {
-    const auto target = parser.get().target();
-    const std::string_view whole(target.data(), target.size());
-    return !path.empty() && whole.substr(0, whole.find('?')) == path;
+    auto& connection = *running.connection;
+    const auto& parser = running.parser;
+    const auto turn = running.request.turn;
+    const auto refused = check_host_request(w, connection, parser);
+    if (refused == result_code::ok) {
+        co_await answer_host_request(w, connection, turn, parser, keep_alive);
+    } else {
+        count_refused(w, refused);
+        log_refused(w, request_id_of(w, parser), refused);
+        co_await refuse_host_request(w, connection, turn, parser, refused, keep_alive);
+    }
+    end_turn(running);
 }
 
 /// Reads one request and starts it. Returns false if no further one can be read.
@@ -211,14 +221,8 @@
     }
     // An answer of this host's own does not wait for a body, which must not be read as a request.
     const bool keep_alive = parser.is_done() && parser.get().keep_alive();
-    if (is_path(parser, w.context.profile->lookup_path)) {
-        co_await answer_lookup(w, connection, turn, parser, keep_alive);
-        end_turn(*running);
-        co_return keep_alive;
-    }
-    if (is_path(parser, w.context.profile->readiness_path)) {
-        co_await answer_readiness(w, connection, turn, keep_alive);
-        end_turn(*running);
+    if (is_for_host(w, connection, parser)) {
+        co_await serve_host_request(w, *running, keep_alive);
         co_return keep_alive;
     }
     const route_rule* rule = nullptr;
--- a/source/traffic/traffic_server.h
+++ b/source/traffic/traffic_server.h
@@ -6,6 +6,7 @@
 #include "control/event.h"
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
+#include "traffic/listener.h"
 #include "traffic/slot_pool.h"
 #include "traffic/traffic_events.h"
 #include "traffic/wire_profile.h"
@@ -21,7 +22,7 @@
     host_id host;
     failure_domain_id domain;
     shared_secret secret;
-    std::vector<endpoint> listen;
+    std::vector<listener> listen;
     const wire_profile* profile = &builtin_profile;
     shared_budgets budgets;
     std::uint32_t threads = 1;
--- a/source/traffic/wire_profile.cpp
+++ b/source/traffic/wire_profile.cpp
@@ -4,7 +4,9 @@
 
 namespace almondquay {
 
-const wire_profile builtin_profile{
-    .lookup_path = lookup_path, .deadline_header = deadline_header, .reports_outcome = true};
+const wire_profile builtin_profile{.lookup_path = lookup_path,
+                                   .readiness_path = readiness_path,
+                                   .deadline_header = deadline_header,
+                                   .reports_outcome = true};
 
 } // namespace almondquay
--- a/source/traffic/wire_profile.h
+++ b/source/traffic/wire_profile.h
@@ -12,11 +12,11 @@
 namespace almondquay {
 
 struct wire_profile {
-    std::string_view lookup_path{};
-    std::string_view readiness_path{};
-    std::string_view deadline_header{};        ///< milliseconds that the caller will wait
-    std::string_view request_id_header{};      ///< targets echo it in their responses
-    std::string_view object_cookie{};          ///< identifies the object that the request accesses
+    std::string_view lookup_path{};       ///< has a meaning only where look-ups are served
+    std::string_view readiness_path{};    ///< has a meaning only where readiness checks are served
+    std::string_view deadline_header{};   ///< milliseconds that the caller will wait
+    std::string_view request_id_header{}; ///< targets echo it in their responses
+    std::string_view object_cookie{};     ///< identifies the object that the request accesses
     std::string_view expected_target_header{}; ///< a target with another ID rejects the request
     std::string_view not_run_header{}; ///< on responses of targets that did not run the request
     std::string_view load_header{};    ///< a target's load report, "running,waiting,slots"
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -23,8 +23,8 @@
 /// Keeps a connection in the list of its thread while the coroutine that reads from it exists. If
 /// an exception ends that early, requests of the connection may still be running.
 struct listed_connection {
-    listed_connection(worker& owner, tcp::socket socket)
-        : w(&owner), connection(new caller_connection(std::move(socket)))
+    listed_connection(worker& owner, tcp::socket socket, listener_role role)
+        : w(&owner), connection(new caller_connection(std::move(socket), role))
     {
         w->callers.push_back(*connection);
     }
@@ -49,9 +49,9 @@
     bool has_ended = false;
 };
 
-asio::awaitable<void> serve(worker& w, tcp::socket socket)
+asio::awaitable<void> serve(worker& w, tcp::socket socket, listener_role role)
 {
-    listed_connection caller(w, std::move(socket));
+    listed_connection caller(w, std::move(socket), role);
     co_await serve_caller(w, *caller.connection);
     caller.has_ended = true;
 }
@@ -71,12 +71,12 @@
     socket.write_some(asio::buffer(text), ignored);
 }
 
-asio::awaitable<void> accept_callers(worker& w, tcp::acceptor& acceptor)
+asio::awaitable<void> accept_callers(worker& w, open_listener& at)
 {
-    while (acceptor.is_open()) {
+    while (at.acceptor.is_open()) {
         error_code problem;
         tcp::socket socket(w.io);
-        co_await acceptor.async_accept(socket, redirect_error_to(problem));
+        co_await at.acceptor.async_accept(socket, redirect_error_to(problem));
         if (problem == asio::error::operation_aborted) {
             co_return;
         }
@@ -93,7 +93,8 @@
             reject_connection(socket);
             continue;
         }
-        asio::co_spawn(w.io, serve(w, std::move(socket)), log::failures_of("caller connection"));
+        asio::co_spawn(w.io, serve(w, std::move(socket), at.role),
+                       log::failures_of("caller connection"));
     }
 }
 
@@ -101,10 +102,10 @@
 
 result<done> start_listening(worker& w)
 {
-    for (const auto& at : w.context.listen) {
+    for (const auto& [at, role] : w.context.listen) {
         try {
             const tcp::endpoint address(asio::ip::make_address(at.address), at.port);
-            auto& acceptor = w.acceptors.emplace_back(w.io);
+            auto& acceptor = w.listeners.emplace_back(w.io, role).acceptor;
             acceptor.open(address.protocol());
             acceptor.set_option(tcp::acceptor::reuse_address(true));
             acceptor.set_option(reuse_port(true));
@@ -114,8 +115,8 @@
             return error{result_code::usage_error, to_string(at) + ": " + problem.what()};
         }
     }
-    for (auto& acceptor : w.acceptors) {
-        asio::co_spawn(w.io, accept_callers(w, acceptor), log::failures_of("caller listener"));
+    for (auto& at : w.listeners) {
+        asio::co_spawn(w.io, accept_callers(w, at), log::failures_of("caller listener"));
     }
     return done{};
 }
@@ -124,8 +125,8 @@
 {
     error_code ignored;
     w.stopping = true;
-    for (auto& acceptor : w.acceptors) {
-        acceptor.close(ignored);
+    for (auto& at : w.listeners) {
+        at.acceptor.close(ignored);
     }
     if (w.callers.empty()) {
         on_drained();
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -6,6 +6,7 @@
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
 #include "traffic/caller_connection.h"
+#include "traffic/listener.h"
 #include "traffic/placement.h"
 #include "traffic/retry_budget.h"
 #include "traffic/route_estimate.h"
@@ -32,7 +33,7 @@
     host_id host;
     failure_domain_id domain;
     shared_secret secret; ///< signs spilled requests between hosts
-    std::vector<endpoint> listen;
+    std::vector<listener> listen;
     const wire_profile* profile = &builtin_profile;
     shared_budgets budgets;
     std::uint32_t max_connections = 0; ///< for each thread
@@ -61,6 +62,13 @@
     std::optional<permit_verdict_effect> verdict;
 };
 
+struct open_listener {
+    open_listener(asio::io_context& io, listener_role r) : role(r), acceptor(io) {}
+
+    listener_role role;
+    tcp::acceptor acceptor;
+};
+
 /// The state of a traffic thread. Accessed only by the thread that runs `io`.
 struct worker {
     explicit worker(traffic_context shared)
@@ -70,7 +78,7 @@
 
     traffic_context context;
     asio::io_context io{1};
-    std::vector<tcp::acceptor> acceptors;
+    std::vector<open_listener> listeners;
     upstream_pool upstreams;
     snapshot_ptr snapshot;
     boost::intrusive::list<caller_connection> callers;
--- a/unit_tests/processes/framing.sh
+++ b/unit_tests/processes/framing.sh
@@ -14,7 +14,7 @@
     local path=$1 body=$2 headers=$'Host: a.example\r\nX-Request-Id: outer\r\n'
     shift 2
     for h in "$@"; do headers+=$h$'\r\n'; done
-    { printf 'POST %s HTTP/1.1\r\n%s\r\n%s' "$path" "$headers" "$body"; } | raw 127.0.1.1:7000 1 | tr -d '\0'
+    { printf '%s %s HTTP/1.1\r\n%s\r\n%s' "${method:-POST}" "$path" "$headers" "$body"; } | raw "127.0.1.1:${port:-7000}" 1 | tr -d '\0'
 }
 runs() { http_get 127.1.1.1:9000 /stats | awk '/^runs /{print $2}'; }
 shape() { # what status expected-runs path body header...
@@ -43,9 +43,13 @@
 shape "chunks named in Connection" 200 1 /x/a "$as_chunk" "Transfer-Encoding: chunked" "Connection: Transfer-Encoding"
 shape "host named in Connection" 200 1 /x/a "" "Content-Length: 0" "Connection: Host"
 shape "id named in Connection" 200 1 /x/a "" "Content-Length: 0" "Connection: X-Request-Id"
-shape "body of a look-up" 200 0 "/-/resolve?name=a.example" "$inner" "$by_length"
-shape "chunks of a look-up" 200 0 "/-/resolve?name=a.example" "$as_chunk" "Transfer-Encoding: chunked"
-shape "body of a readiness probe" 200 0 /-/ready "$inner" "$by_length"
+port=7002 method=GET shape "body of a look-up" 200 0 "/-/resolve?name=a.example" "$inner" "$by_length"
+port=7002 method=GET shape "chunks of a look-up" 200 0 "/-/resolve?name=a.example" "$as_chunk" "Transfer-Encoding: chunked"
+port=7002 shape "body of a refused look-up" 405 0 "/-/resolve?name=a.example" "$inner" "$by_length"
+port=7002 shape "body of a request where nothing is routed" 404 0 /x/a "$inner" "$by_length"
+port=7003 method=GET shape "body of a readiness probe" 200 0 /-/ready "$inner" "$by_length"
+port=7003 shape "chunks of a refused readiness probe" 405 0 /-/ready "$as_chunk" "Transfer-Encoding: chunked"
+shape "body of a path that other addresses serve" 404 0 /-/ready "$inner" "$by_length"
 shape "body of an unknown route" 404 0 /none "$inner" "$by_length"
 shape "unknown transfer coding" 501 0 /x/a "$as_chunk" "Transfer-Encoding: gzip, chunked"
 shape "unknown transfer coding in a line of its own" 501 0 /x/a "$as_chunk" "Transfer-Encoding: gzip" "Transfer-Encoding: chunked"
--- a/unit_tests/traffic/traffic_server_test.cpp
+++ b/unit_tests/traffic/traffic_server_test.cpp
@@ -1,11 +1,14 @@
 #include "traffic/traffic_server.h"
 
+#include "config/process_settings.h"
 #include "support/loopback.h"
+#include "traffic/spill.h"
 
 #include <chrono>
 #include <future>
 #include <stdexcept>
 #include <string>
+#include <tuple>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -36,26 +39,46 @@
                                     .claims_non_idempotent = false,
                                     .encode_lookup = throwing_lookup};
 
-const wire_profile profile_with_routes{
-    .readiness_path = "/ready", .claims_non_idempotent = false, .has_routes = true};
+std::string lookup_body(const std::vector<endpoint>& /*hosts*/, std::chrono::milliseconds /*ttl*/)
+{
+    return "hosts";
+}
+
+const wire_profile profile_with_routes{.lookup_path = "/lookup",
+                                       .readiness_path = "/ready",
+                                       .claims_non_idempotent = false,
+                                       .has_routes = true,
+                                       .encode_lookup = lookup_body};
 
-/// A host that is ready, and whose only target refuses connections.
+const std::string secret = "a secret for the test";
+
+/// A host that is ready unless told otherwise, and whose only target refuses connections. It
+/// listens for callers, look-ups and readiness checks at addresses of their own, and once more for
+/// callers and look-ups together.
 struct running_host {
-    explicit running_host(const wire_profile& profile)
-        : port(free_port()), metrics(metrics::registry::create())
+    explicit running_host(const wire_profile& profile, bool starts_ready = true)
+        : metrics(metrics::registry::create())
     {
         traffic_settings settings;
         settings.host.value = "h";
-        settings.listen = {{"127.0.0.1", port}};
+        settings.secret.bytes = secret;
+        settings.listen = {{{"127.0.0.1", port}, listener_role::callers},
+                           {{"127.0.0.1", lookup_port}, listener_role::lookups},
+                           {{"127.0.0.1", readiness_port}, listener_role::readiness},
+                           {{"127.0.0.1", shared_port}, listener_role::callers_and_lookups}};
         settings.profile = &profile;
         settings.max_connections = 10;
         traffic_events events;
-        events.report = [](const target_report_event&) {
-            throw std::runtime_error("an unexpected exception");
+        events.report = [throws = &profile == &throwing_profile](const target_report_event&) {
+            if (throws) {
+                throw std::runtime_error("an unexpected exception");
+            }
         };
         events.permit_wanted = [](const permit_wanted_event&) {};
         server = std::move(value_of(traffic_server::create(settings, *metrics, events)));
-        server->publish(make_snapshot(nullptr));
+        if (starts_ready) {
+            server->publish(make_snapshot(nullptr));
+        }
     }
 
     static snapshot_ptr make_snapshot(const route_table_ptr& routes)
@@ -77,12 +100,17 @@
     }
 
     /// The response to one request on a connection of its own; empty if it is only closed.
-    std::string ask(const std::string& path) const
+    std::string ask(const std::string& path) const { return ask(port, "GET " + path); }
+
+    /// The same at another port, with the method before the path and with further header lines.
+    static std::string ask(std::uint16_t at, const std::string& method_and_path,
+                           const std::string& headers = {})
     {
         asio::io_context io;
         tcp::socket socket(io);
-        socket.connect({asio::ip::address_v4::loopback(), port});
-        const auto text = "GET " + path + " HTTP/1.1\r\nHost: ledger\r\nConnection: close\r\n\r\n";
+        socket.connect({asio::ip::address_v4::loopback(), at});
+        const auto text = method_and_path + " HTTP/1.1\r\nHost: ledger\r\nConnection: close\r\n" +
+                          headers + "\r\n";
         asio::write(socket, asio::buffer(text));
         std::string answer;
         bool ended = false;
@@ -93,7 +121,8 @@
         return answer;
     }
 
-    bool is_ready() const { return ask("/ready").starts_with("HTTP/1.1 200 "); }
+    std::string check_readiness() const { return ask(readiness_port, "GET /ready"); }
+    bool is_ready() const { return check_readiness().starts_with("HTTP/1.1 200 "); }
 
     /// Whether the host has no connection left soon after it was told to stop.
     bool drains() const
@@ -103,7 +132,10 @@
         return drained->get_future().wait_for(longest) == std::future_status::ready;
     }
 
-    std::uint16_t port;
+    std::uint16_t port = free_port();
+    std::uint16_t lookup_port = free_port();
+    std::uint16_t readiness_port = free_port();
+    std::uint16_t shared_port = free_port();
     std::unique_ptr<metrics::registry> metrics;
     std::unique_ptr<traffic_server> server;
 };
@@ -117,6 +149,10 @@
     CPPUNIT_TEST(an_exception_in_an_attempt_costs_one_connection);
     CPPUNIT_TEST(a_permit_that_nobody_asked_for_is_dropped);
     CPPUNIT_TEST(without_routes_every_path_is_unknown);
+    CPPUNIT_TEST(callers_get_no_answer_meant_for_other_addresses);
+    CPPUNIT_TEST(lookups_and_readiness_are_served_at_their_own_address);
+    CPPUNIT_TEST(a_shared_address_reserves_the_lookup_path);
+    CPPUNIT_TEST(the_settings_tell_what_is_served_where);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,7 +161,7 @@
         const running_host host(throwing_profile);
         CPPUNIT_ASSERT(host.is_ready());
         for (int i = 0; i < 20; ++i) { // More than there may be connections.
-            CPPUNIT_ASSERT_EQUAL(std::string(), host.ask("/lookup"));
+            CPPUNIT_ASSERT_EQUAL(std::string(), running_host::ask(host.lookup_port, "GET /lookup"));
         }
         CPPUNIT_ASSERT(host.is_ready());
         CPPUNIT_ASSERT(host.drains());
@@ -166,6 +202,109 @@
             }
         }
     }
+
+    /// Guards against requests of a route that covers the paths of look-ups and readiness checks,
+    /// and that the host answers itself instead of routing them.
+    void callers_get_no_answer_meant_for_other_addresses()
+    {
+        const running_host host(profile_with_routes, false);
+        const auto all_answered = [&host](const std::string& status) {
+            for (const auto* path : {"/ready", "/lookup", "/lookup?service=ledger", "/ready?"}) {
+                for (const auto* method : {"GET ", "POST ", "HEAD ", "OPTIONS ", "get "}) {
+                    const auto answer = running_host::ask(host.port, std::string(method) + path);
+                    CPPUNIT_ASSERT_MESSAGE(method + (path + answer),
+                                           answer.starts_with("HTTP/1.1 " + status));
+                }
+            }
+        };
+        all_answered("503 "); // Not ready yet.
+        route_rule rule;
+        rule.host = "ledger";
+        rule.path_prefix = "/";
+        rule.timeout = longest;
+        rule.max_attempts = 1;
+        rule.parts = {{service_id("ledger"), 1}};
+        host.server->publish(running_host::make_snapshot(make_route_table({})));
+        all_answered("404 ");
+        host.server->publish(running_host::make_snapshot(make_route_table({rule})));
+        all_answered("503 "); // The route's only target refuses connections.
+        CPPUNIT_ASSERT(
+            running_host::ask(host.port, "GET http://ledger/ready").starts_with("HTTP/1.1 404 "));
+        CPPUNIT_ASSERT(host.is_ready());
+    }
+
+    /// Guards against addresses that serve more than they are meant for.
+    void lookups_and_readiness_are_served_at_their_own_address()
+    {
+        const running_host host(profile_with_routes);
+        route_rule rule;
+        rule.host = "ledger";
+        rule.path_prefix = "/";
+        rule.parts = {{service_id("ledger"), 1}};
+        host.server->publish(running_host::make_snapshot(make_route_table({rule})));
+        for (const auto& [at, own, other] :
+             {std::tuple(host.lookup_port, "/lookup", "/ready"),
+              std::tuple(host.readiness_port, "/ready", "/lookup")}) {
+            const std::string own_path(own);
+            for (const auto& form : {own_path, own_path + "?a=b", "http://ledger" + own_path}) {
+                CPPUNIT_ASSERT(running_host::ask(at, "GET " + form).starts_with("HTTP/1.1 200 "));
+            }
+            for (const auto* method : {"POST ", "HEAD ", "PUT ", "DELETE ", "OPTIONS ", "get "}) {
+                const auto answer = running_host::ask(at, method + own_path);
+                CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 405 "));
+                CPPUNIT_ASSERT(answer.find("\r\nAllow: GET\r\n") != std::string::npos);
+            }
+            CPPUNIT_ASSERT(running_host::ask(at, "HEAD " + own_path).ends_with("\r\n\r\n"));
+            for (const auto& path : {std::string(other), own_path + "/", "/." + own_path,
+                                     std::string("/tickets"), std::string("*")}) {
+                CPPUNIT_ASSERT(running_host::ask(at, "GET " + path).starts_with("HTTP/1.1 404 "));
+            }
+        }
+    }
+
+    /// Guards against requests that are passed on although their path is reserved, and against a
+    /// host that answers what another host has routed already.
+    void a_shared_address_reserves_the_lookup_path()
+    {
+        const running_host host(profile_with_routes);
+        host.server->publish(running_host::make_snapshot(make_route_table({})));
+        const auto status = [&host](const std::string& request, const std::string& headers = {}) {
+            const auto answer = running_host::ask(host.shared_port, request, headers);
+            return answer.substr(0, answer.find(' ', std::string("HTTP/1.1 ").size()));
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), status("GET /lookup?a=b"));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), status("GET http://ledger/lookup"));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 405"), status("POST /lookup"));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 404"), status("GET /ready"));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 404"), status("GET /lookup/"));
+        const auto spilled = std::string(spill_header) + ": " +
+                             sign(shared_secret{secret}, "ledger GET /lookup") + "\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 404"), status("GET /lookup", spilled));
+    }
+
+    void the_settings_tell_what_is_served_where()
+    {
+        process_settings settings;
+        settings.address = "127.0.0.1";
+        const auto roles = [&settings] {
+            std::vector<listener_role> all;
+            for (const auto& l : listeners_of(settings)) {
+                all.push_back(l.role);
+            }
+            return all;
+        };
+        using roles_t = std::vector<listener_role>;
+        CPPUNIT_ASSERT(roles() == roles_t{listener_role::callers_and_lookups});
+        settings.store = store_kind::registry;
+        CPPUNIT_ASSERT(roles() == roles_t{listener_role::callers});
+        settings.lookups.port = 7002;
+        settings.readiness.port = 7003;
+        const roles_t separate{listener_role::callers, listener_role::lookups,
+                               listener_role::readiness};
+        CPPUNIT_ASSERT(roles() == separate);
+        settings.store = store_kind::own;
+        CPPUNIT_ASSERT(roles() == separate);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(traffic_server_test);
