Count connections by listener, so that callers take no readiness check away

Seen: with as many connections of callers as max_connections allows, idle ones included, readiness checks and look-ups at their own addresses were answered 503. A host that serves all it can counted as not ready.

Cause: the limit was compared with all connections of a thread.

Change: each listener counts its connections, and the limit holds for each of them.

--- a/source/config/process_settings.h
+++ b/source/config/process_settings.h
@@ -50,7 +50,7 @@
     std::chrono::milliseconds max_propagation_delay{2'000};
     shared_secret secret;
     std::uint32_t traffic_threads = 2;
-    std::uint32_t max_connections = 4'000;   ///< caller connections per traffic thread
+    std::uint32_t max_connections = 4'000;   ///< per traffic thread and listening address
     std::chrono::milliseconds stop_grace{0}; ///< time limit of a graceful stop; 0: none
     shared_budgets budgets;
     std::string log_level = "info";
--- a/source/traffic/traffic_server.h
+++ b/source/traffic/traffic_server.h
@@ -26,7 +26,7 @@
     const wire_profile* profile = &builtin_profile;
     shared_budgets budgets;
     std::uint32_t threads = 1;
-    std::uint32_t max_connections = 1; ///< for each thread
+    std::uint32_t max_connections = 1; ///< for each listener and thread
 };
 
 class traffic_server {
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -20,19 +20,23 @@
 
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-/// Keeps a connection in the list of its thread while the coroutine that reads from it exists. If
-/// an exception ends that early, requests of the connection may still be running.
+/// Keeps a connection in the list of its thread and counts it at its listener while the coroutine
+/// that reads from it exists. If an exception ends that early, requests of the connection may still
+/// be running.
 struct listed_connection {
-    listed_connection(worker& owner, tcp::socket socket, listener_role role)
-        : w(&owner), connection(new caller_connection(std::move(socket), role))
+    listed_connection(worker& owner, open_listener& accepted_by, tcp::socket socket)
+        : w(&owner), at(&accepted_by),
+          connection(new caller_connection(std::move(socket), accepted_by.role))
     {
         w->callers.push_back(*connection);
+        ++at->connections;
     }
     ~listed_connection()
     {
         if (!connection->is_linked()) {
-            return; // The thread has ended and its list is gone.
+            return; // The thread has ended; its list and its listeners are gone.
         }
+        --at->connections;
         if (!has_ended) {
             reset_connection(*connection);
         }
@@ -45,13 +49,14 @@
     listed_connection& operator=(const listed_connection&) = delete;
 
     worker* w;
+    open_listener* at;
     caller_connection_ptr connection;
     bool has_ended = false;
 };
 
-asio::awaitable<void> serve(worker& w, tcp::socket socket, listener_role role)
+asio::awaitable<void> serve(worker& w, open_listener& at, tcp::socket socket)
 {
-    listed_connection caller(w, std::move(socket), role);
+    listed_connection caller(w, at, std::move(socket));
     co_await serve_caller(w, *caller.connection);
     caller.has_ended = true;
 }
@@ -89,11 +94,11 @@
             co_await pause.async_wait(redirect_error_to(problem));
             continue;
         }
-        if (w.callers.size() >= w.context.max_connections) {
+        if (at.connections >= w.context.max_connections) {
             reject_connection(socket);
             continue;
         }
-        asio::co_spawn(w.io, serve(w, std::move(socket), at.role),
+        asio::co_spawn(w.io, serve(w, at, std::move(socket)),
                        log::failures_of("caller connection"));
     }
 }
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -36,7 +36,7 @@
     std::vector<listener> listen;
     const wire_profile* profile = &builtin_profile;
     shared_budgets budgets;
-    std::uint32_t max_connections = 0; ///< for each thread
+    std::uint32_t max_connections = 0; ///< for each listener and thread
     slot_pool* slots = nullptr;
     statement_board* statements = nullptr;
     metrics::registry* metrics = nullptr;
@@ -67,6 +67,7 @@
 
     listener_role role;
     tcp::acceptor acceptor;
+    std::uint32_t connections = 0; ///< accepted here and still open
 };
 
 /// The state of a traffic thread. Accessed only by the thread that runs `io`.
--- a/unit_tests/traffic/traffic_server_test.cpp
+++ b/unit_tests/traffic/traffic_server_test.cpp
@@ -27,6 +27,7 @@
 using error_code = boost::system::error_code;
 
 constexpr std::chrono::seconds longest{5};
+constexpr std::uint32_t max_connections = 10;
 
 std::string throwing_lookup(const std::vector<endpoint>& /*hosts*/,
                             std::chrono::milliseconds /*ttl*/)
@@ -67,7 +68,7 @@
                            {{"127.0.0.1", readiness_port}, listener_role::readiness},
                            {{"127.0.0.1", shared_port}, listener_role::callers_and_lookups}};
         settings.profile = &profile;
-        settings.max_connections = 10;
+        settings.max_connections = max_connections;
         traffic_events events;
         events.report = [throws = &profile == &throwing_profile](const target_report_event&) {
             if (throws) {
@@ -152,6 +153,7 @@
     CPPUNIT_TEST(callers_get_no_answer_meant_for_other_addresses);
     CPPUNIT_TEST(lookups_and_readiness_are_served_at_their_own_address);
     CPPUNIT_TEST(a_shared_address_reserves_the_lookup_path);
+    CPPUNIT_TEST(callers_that_fill_their_connections_take_none_elsewhere);
     CPPUNIT_TEST(the_settings_tell_what_is_served_where);
     CPPUNIT_TEST_SUITE_END();
 
@@ -282,6 +284,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 404"), status("GET /lookup", spilled));
     }
 
+    /// Guards against a host that fails its readiness checks and look-ups because callers, who need
+    /// send nothing, hold all connections that it allows.
+    void callers_that_fill_their_connections_take_none_elsewhere()
+    {
+        for (const auto full : {listener_role::callers, listener_role::lookups}) {
+            const running_host host(profile_with_routes);
+            host.server->publish(running_host::make_snapshot(make_route_table({})));
+            asio::io_context io;
+            std::vector<tcp::socket> held;
+            for (std::uint32_t i = 0; i < max_connections; ++i) {
+                const auto at = full == listener_role::callers ? host.port : host.lookup_port;
+                held.emplace_back(io).connect({asio::ip::address_v4::loopback(), at});
+            }
+            const std::string caller = full == listener_role::callers ? "503" : "404";
+            const std::string lookup = full == listener_role::lookups ? "503" : "200";
+            CPPUNIT_ASSERT(host.ask("/a").starts_with("HTTP/1.1 " + caller));
+            CPPUNIT_ASSERT(running_host::ask(host.lookup_port, "GET /lookup")
+                               .starts_with("HTTP/1.1 " + lookup));
+            CPPUNIT_ASSERT(host.is_ready());
+        }
+    }
+
     void the_settings_tell_what_is_served_where()
     {
         process_settings settings;
