Serve look-ups and readiness checks until a stopping host ends

Seen: a host that is stopped, takes no further callers and still has requests under way refused connections at the addresses of look-ups and readiness checks. It could not be told from a dead host, and look-ups that reached it failed although it knows the other hosts.

Cause: stop_listening closed all listeners of a thread and waited for all their connections.

Change: only listeners whose requests are routed close, and only their connections are waited for.

--- a/source/traffic/caller_reader.cpp
+++ b/source/traffic/caller_reader.cpp
@@ -139,7 +139,7 @@
     if (connection.buffer.size() != 0) {
         co_return true;
     }
-    if (w.stopping && !connection.is_busy()) {
+    if (w.stopping && routes_requests(connection.role) && !connection.is_busy()) {
         co_return false;
     }
     error_code problem;
--- a/source/traffic/listener.h
+++ b/source/traffic/listener.h
@@ -16,6 +16,12 @@
     readiness,           ///< readiness checks only; nothing is routed
 };
 
+/// Whether requests that arrive at such a listener are routed.
+constexpr bool routes_requests(listener_role role)
+{
+    return role == listener_role::callers || role == listener_role::callers_and_lookups;
+}
+
 struct listener {
     endpoint at;
     listener_role role = listener_role::callers;
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -20,6 +20,13 @@
 
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+bool has_routed_connections(const worker& w)
+{
+    return std::ranges::any_of(w.listeners, [](const open_listener& at) {
+        return routes_requests(at.role) && at.connections != 0;
+    });
+}
+
 /// Keeps a connection in the list of its thread and counts it at its listener while the coroutine
 /// that reads from it exists. If an exception ends that early, requests of the connection may still
 /// be running.
@@ -41,7 +48,7 @@
             reset_connection(*connection);
         }
         w->callers.erase(w->callers.iterator_to(*connection));
-        if (w->stopping && w->callers.empty() && w->on_drained) {
+        if (w->stopping && !has_routed_connections(*w) && w->on_drained) {
             std::exchange(w->on_drained, nullptr)();
         }
     }
@@ -131,15 +138,17 @@
     error_code ignored;
     w.stopping = true;
     for (auto& at : w.listeners) {
-        at.acceptor.close(ignored);
+        if (routes_requests(at.role)) {
+            at.acceptor.close(ignored);
+        }
     }
-    if (w.callers.empty()) {
+    if (!has_routed_connections(w)) {
         on_drained();
         return;
     }
     w.on_drained = std::move(on_drained);
     for (auto& caller : w.callers) {
-        if (!caller.is_busy() && !has_unread_data(caller)) {
+        if (routes_requests(caller.role) && !caller.is_busy() && !has_unread_data(caller)) {
             caller.closing = true;
             caller.stream.cancel();
         }
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -106,7 +106,8 @@
 /// Opens the listeners and starts accepting connections. Errors: usage_error.
 result<done> start_listening(worker& w);
 
-/// Stops accepting connections, closes idle ones and calls `on_drained` after the last request.
+/// Stops accepting callers, closes their idle connections and calls `on_drained` after the last
+/// request. Look-ups and readiness checks with addresses of their own are answered until the end.
 void stop_listening(worker& w, std::function<void()> on_drained);
 
 /// Wakes the request that waits for this verdict.
--- a/unit_tests/processes/addresses.sh
+++ b/unit_tests/processes/addresses.sh
@@ -76,6 +76,11 @@
 for path in "$lookup" /view/a /other /; do expect "the address of readiness checks serves no $path" answers 7003 GET "$path" 404; done
 expect "nothing was forwarded from there" equal "$(runs)" "$before"
 
+registry_seeds=127.0.1.1:7001 start_registry_host 2 north-a "$registry"
+names_second() { contains "$(ask 7002 GET "$lookup")" '"127.0.1.2:7000"'; }
+expect "a second host joins" wait_until 10 names_second
+takes_callers() { (exec 22<>/dev/tcp/127.0.1.1/7000) 2>/dev/null; }
+takes_no_callers() { ! takes_callers; }
 exec 20<>/dev/tcp/127.0.1.1/7000 21<>/dev/tcp/127.0.1.1/7003
 kill -TERM "$(pid_of entry-1)"
 sleep 0.5
@@ -86,4 +91,20 @@
 expect "which ran once" equal $(($(runs) - before)) 1
 expect "a stopping host is not ready" contains "$(timeout 2 cat <&21)" "HTTP/1.1 503 "
 exec 20<&- 21<&-
+
+under_way=0
+while takes_callers; do # The last of these requests run on when the host takes no further connections of callers.
+    under_way=$((under_way + 1))
+    ask 7000 POST "/work?ms=1500" >"$work/under-way-$under_way" 2>/dev/null &
+    sleep 0.3
+done
+expect "the host takes no callers" takes_no_callers
+expect "its look-ups still name the other host" contains "$(ask 7002 GET "$lookup")" '["127.0.1.2:7000"]'
+expect "its readiness checks still say that it is not ready" answers 7003 GET /-/ready 503
+expect "a readiness check still has its method" not_allowed 7003 POST /-/ready
+wait
+rm "$work/under-way-$under_way" # May have come too late.
+expect "requests under way are answered" from_target "$(cat "$work"/under-way-*)" $((under_way - 1))
+gone() { ! kill -0 "$(pid_of entry-1)" 2>/dev/null; }
+expect "the host ends" wait_until 3 gone
 finish
--- a/unit_tests/traffic/traffic_server_test.cpp
+++ b/unit_tests/traffic/traffic_server_test.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(lookups_and_readiness_are_served_at_their_own_address);
     CPPUNIT_TEST(a_shared_address_reserves_the_lookup_path);
     CPPUNIT_TEST(callers_that_fill_their_connections_take_none_elsewhere);
+    CPPUNIT_TEST(a_stop_waits_for_callers_only);
     CPPUNIT_TEST(the_settings_tell_what_is_served_where);
     CPPUNIT_TEST_SUITE_END();
 
@@ -306,6 +307,24 @@
         }
     }
 
+    /// Guards against look-ups and readiness checks that fail while a stopping host ends its
+    /// requests, and against a stop that waits for their connections.
+    void a_stop_waits_for_callers_only()
+    {
+        const running_host host(profile_with_routes);
+        asio::io_context io;
+        std::vector<tcp::socket> held;
+        for (const auto at : {host.port, host.lookup_port, host.readiness_port}) {
+            held.emplace_back(io).connect({asio::ip::address_v4::loopback(), at});
+        }
+        CPPUNIT_ASSERT(host.drains());
+        CPPUNIT_ASSERT(
+            running_host::ask(host.lookup_port, "GET /lookup").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(host.check_readiness().starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(
+            running_host::ask(host.readiness_port, "POST /ready").starts_with("HTTP/1.1 405 "));
+    }
+
     void the_settings_tell_what_is_served_where()
     {
         process_settings settings;
