Refuse settings in which two listeners share an address

What is served depends on the address alone, but settings with one address for look-ups and readiness checks, or for one of them and callers, were accepted: both listeners share the port by SO_REUSEPORT, and the kernel distributes connections among them. Seen with lookups and readiness at one address: of 60 readiness checks 24 were answered 404, as at the address of look-ups.

--- a/source/config/process_settings.cpp
+++ b/source/config/process_settings.cpp
@@ -3,6 +3,8 @@
 #include "config/section_reader.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace almondquay {
 
@@ -162,6 +164,27 @@
     report_unknown_keys(reader);
 }
 
+/// What is served depends on the address alone, so each listener needs one of its own.
+void check_listeners(ini_document& document, const process_settings& settings)
+{
+    const std::array<std::pair<std::string_view, endpoint>, 5> listeners{
+        {{"callers", {settings.address, settings.caller_port}},
+         {"peers", {settings.address, settings.peer_port}},
+         {"lookups", settings.lookups},
+         {"readiness", settings.readiness},
+         {"metrics", settings.metrics}}};
+    std::map<endpoint, std::string_view> used;
+    for (const auto& [name, at] : listeners) {
+        const auto [other, is_new] = used.emplace(at, name);
+        if (!is_new && at.port != 0) {
+            document.findings.push_back({result_code::address_in_use, document.file, 0,
+                                         "the addresses of " + std::string(name) + " and " +
+                                             std::string(other->second) +
+                                             " must differ, both are " + to_string(at)});
+        }
+    }
+}
+
 void require_section(ini_document& document, std::string_view kind)
 {
     if (std::ranges::find(document.sections, kind, &ini_section::kind) == document.sections.end()) {
@@ -184,6 +207,7 @@
     }
     if (user == process_kind::daemon) {
         require_section(document, "host");
+        check_listeners(document, settings);
     }
     require_section(document, "platform");
     require_section(document, "peers");
--- a/unit_tests/config/fleet_text_test.cpp
+++ b/unit_tests/config/fleet_text_test.cpp
@@ -59,6 +59,12 @@
     CPPUNIT_ASSERT_MESSAGE(extra, has(findings, code, before + line_of_extra));
 }
 
+constexpr std::string_view good_settings =
+    "[host]\nid = a\nfailure_domain = d\naddress = 127.0.1.1\n"
+    "[platform]\naddress = 127.0.0.2:7100\n"
+    "[peers]\nshared_secret = sixteen letters!\n"
+    "seeds = 127.0.1.1:7001, 127.0.1.2:7001\n";
+
 } // namespace
 
 class fleet_text_test : public CppUnit::TestFixture {
@@ -72,6 +78,7 @@
     CPPUNIT_TEST(envelope_survives_a_round_trip);
     CPPUNIT_TEST(lists_may_span_several_lines);
     CPPUNIT_TEST(settings_are_checked);
+    CPPUNIT_TEST(each_listener_has_an_address_of_its_own);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,11 +186,7 @@
 
     void settings_are_checked()
     {
-        const std::string good = "[host]\nid = a\nfailure_domain = d\naddress = 127.0.1.1\n"
-                                 "[platform]\naddress = 127.0.0.2:7100\n"
-                                 "[peers]\nshared_secret = sixteen letters!\n"
-                                 "seeds = 127.0.1.1:7001, 127.0.1.2:7001\n";
-        const auto parsed = parse_process_settings(good, "s", process_kind::daemon);
+        const auto parsed = parse_process_settings(good_settings, "s", process_kind::daemon);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, std::get<process_settings>(parsed).seeds.size());
         const auto bad = parse_process_settings("[peers]\nshared_secret = short\n[traffic]\n"
                                                 "threads = many\nx = 1\n",
@@ -194,6 +197,32 @@
         CPPUNIT_ASSERT(has(findings, result_code::unknown_key, 5));
         CPPUNIT_ASSERT(has(findings, result_code::missing_section, 0));
     }
+
+    /// Guards against two listeners at one address, among which the kernel distributes connections:
+    /// what a request gets would be left to chance.
+    void each_listener_has_an_address_of_its_own()
+    {
+        const std::string callers = "127.0.1.1:7000";
+        const auto is_refused = [](const std::string& lookups, const std::string& readiness,
+                                   const std::string& metrics) {
+            std::string text(good_settings);
+            text.insert(text.find("[platform]"),
+                        "lookups = " + lookups + "\nreadiness = " + readiness + "\n");
+            text += "[metrics]\naddress = " + metrics + "\n";
+            const auto parsed = parse_process_settings(text, "s", process_kind::daemon);
+            const auto* findings = std::get_if<diagnostics>(&parsed);
+            CPPUNIT_ASSERT(findings == nullptr || has(*findings, result_code::address_in_use, 0));
+            return findings != nullptr;
+        };
+        CPPUNIT_ASSERT(!is_refused("127.0.1.1:7002", "127.0.1.1:7003", "127.0.1.1:7004"));
+        CPPUNIT_ASSERT(!is_refused("127.0.1.1:7002", "127.0.1.2:7002", "127.0.1.3:7002"));
+        CPPUNIT_ASSERT(is_refused(callers, "127.0.1.1:7003", "127.0.1.1:7004"));
+        CPPUNIT_ASSERT(is_refused("127.0.1.1:7002", callers, "127.0.1.1:7004"));
+        CPPUNIT_ASSERT(is_refused("127.0.1.1:7002", "127.0.1.1:7002", "127.0.1.1:7004"));
+        CPPUNIT_ASSERT(is_refused("127.0.1.1:7002", "127.0.1.1:7001", "127.0.1.1:7004"));
+        CPPUNIT_ASSERT(is_refused("127.0.1.1:7002", "127.0.1.1:7003", "127.0.1.1:7002"));
+        CPPUNIT_ASSERT(is_refused("127.0.1.1:7002", "127.0.1.1:7003", "127.0.1.1:7001"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_text_test);
