Blame no target for a file descriptor that the host lacks

A lost answer counts as a crash, as the connection that checks it cannot be opened either.

Cause: an attempt took each failure to connect for one of the target.

--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -271,7 +271,9 @@
         }
         return;
     }
-    if (end.code == result_code::caller_gone) {
+    const bool tells_nothing =
+        end.code == result_code::caller_gone || end.code == result_code::too_many_connections;
+    if (tells_nothing) {
         return;
     }
     ++load.failures;
@@ -301,6 +303,9 @@
         put_idle(w.upstreams, address, upstream);
         co_return;
     }
+    if (problem == asio::error::no_descriptors) {
+        co_return; // Tells nothing about the target.
+    }
     w.suspects.insert(evidence.fingerprint);
     w.context.events.crash(std::move(evidence));
 }
@@ -328,6 +333,10 @@
     if (!upstream) {
         error_code problem;
         upstream = co_await connect(w.upstreams, used.address, request.deadline, problem);
+        if (problem == asio::error::no_descriptors) {
+            co_return forward_result{
+                result_code::too_many_connections, outcome::not_run, false, true, {}};
+        }
         if (problem) {
             if (!used.is_spill) {
                 report_target(w, used.target,
@@ -444,7 +453,7 @@
     const bool can_resend = request.body_is_complete && end.caller_usable && !end.answered;
     const bool is_safe = end.request_outcome == outcome::not_run || request.repeatable;
     return can_resend && is_safe && end.code != result_code::caller_gone &&
-           clock::now() < request.deadline;
+           end.code != result_code::too_many_connections && clock::now() < request.deadline;
 }
 
 /// The combined result of all attempts so far: if an earlier attempt may have run, the outcome
--- a/unit_tests/traffic/traffic_server_test.cpp
+++ b/unit_tests/traffic/traffic_server_test.cpp
@@ -4,16 +4,23 @@
 #include "support/loopback.h"
 #include "traffic/spill.h"
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <tuple>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -51,6 +58,37 @@
                                        .has_routes = true,
                                        .encode_lookup = lookup_body};
 
+/// A route over all paths.
+route_rule rule_for_all()
+{
+    route_rule rule;
+    rule.id.value = "all";
+    rule.host = "ledger";
+    rule.path_prefix = "/";
+    rule.timeout = longest;
+    rule.max_attempts = 1;
+    rule.parts = {{service_id("ledger"), 1}};
+    return rule;
+}
+
+/// While it exists, this process can open no further file descriptor.
+struct no_descriptors {
+    no_descriptors()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &before);
+        const auto lowest = ::open("/dev/null", O_RDONLY); // The kernel takes the lowest free one.
+        ::close(lowest);
+        auto none = before;
+        none.rlim_cur = static_cast<rlim_t>(lowest);
+        ::setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ~no_descriptors() { ::setrlimit(RLIMIT_NOFILE, &before); }
+    no_descriptors(const no_descriptors&) = delete;
+    no_descriptors& operator=(const no_descriptors&) = delete;
+
+    rlimit before{};
+};
+
 const std::string secret = "a secret for the test";
 
 /// A host that is ready unless told otherwise, and whose only target refuses connections. It
@@ -70,7 +108,8 @@
         settings.profile = &profile;
         settings.max_connections = max_connections;
         traffic_events events;
-        events.report = [throws = &profile == &throwing_profile](const target_report_event&) {
+        events.report = [this, throws = &profile == &throwing_profile](const auto& /*report*/) {
+            ++target_reports;
             if (throws) {
                 throw std::runtime_error("an unexpected exception");
             }
@@ -133,6 +172,7 @@
         return drained->get_future().wait_for(longest) == std::future_status::ready;
     }
 
+    std::atomic<unsigned> target_reports{0};
     std::uint16_t port = free_port();
     std::uint16_t lookup_port = free_port();
     std::uint16_t readiness_port = free_port();
@@ -155,6 +195,7 @@
     CPPUNIT_TEST(a_shared_address_reserves_the_lookup_path);
     CPPUNIT_TEST(callers_that_fill_their_connections_take_none_elsewhere);
     CPPUNIT_TEST(a_stop_waits_for_callers_only);
+    CPPUNIT_TEST(a_target_is_not_blamed_for_missing_descriptors);
     CPPUNIT_TEST(the_settings_tell_what_is_served_where);
     CPPUNIT_TEST_SUITE_END();
 
@@ -221,15 +262,9 @@
             }
         };
         all_answered("503 "); // Not ready yet.
-        route_rule rule;
-        rule.host = "ledger";
-        rule.path_prefix = "/";
-        rule.timeout = longest;
-        rule.max_attempts = 1;
-        rule.parts = {{service_id("ledger"), 1}};
         host.server->publish(running_host::make_snapshot(make_route_table({})));
         all_answered("404 ");
-        host.server->publish(running_host::make_snapshot(make_route_table({rule})));
+        host.server->publish(running_host::make_snapshot(make_route_table({rule_for_all()})));
         all_answered("503 "); // The route's only target refuses connections.
         CPPUNIT_ASSERT(
             running_host::ask(host.port, "GET http://ledger/ready").starts_with("HTTP/1.1 404 "));
@@ -240,11 +275,7 @@
     void lookups_and_readiness_are_served_at_their_own_address()
     {
         const running_host host(profile_with_routes);
-        route_rule rule;
-        rule.host = "ledger";
-        rule.path_prefix = "/";
-        rule.parts = {{service_id("ledger"), 1}};
-        host.server->publish(running_host::make_snapshot(make_route_table({rule})));
+        host.server->publish(running_host::make_snapshot(make_route_table({rule_for_all()})));
         for (const auto& [at, own, other] :
              {std::tuple(host.lookup_port, "/lookup", "/ready"),
               std::tuple(host.readiness_port, "/ready", "/lookup")}) {
@@ -325,6 +356,33 @@
             running_host::ask(host.readiness_port, "POST /ready").starts_with("HTTP/1.1 405 "));
     }
 
+    /// Guards against targets that are left out, or requests that are quarantined, because the host
+    /// itself has no file descriptor left for a connection.
+    void a_target_is_not_blamed_for_missing_descriptors()
+    {
+        const running_host host(profile_with_routes);
+        host.server->publish(running_host::make_snapshot(make_route_table({rule_for_all()})));
+        CPPUNIT_ASSERT(host.ask("/a").starts_with("HTTP/1.1 503 "));
+        const unsigned reports = host.target_reports;
+        CPPUNIT_ASSERT(reports != 0); // Its target refuses connections.
+        asio::io_context io;
+        tcp::socket socket(io);
+        socket.connect({asio::ip::address_v4::loopback(), host.port});
+        asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\n"))); // Has it accepted.
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+        std::string answer;
+        {
+            const no_descriptors limit;
+            asio::write(socket, asio::buffer(std::string("Host: ledger\r\n\r\n")));
+            error_code problem;
+            asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", problem);
+        }
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT_EQUAL(reports, host.target_reports.load());
+        CPPUNIT_ASSERT(host.metrics->expose().find(R"(result="too_many_connections")") !=
+                       std::string::npos);
+    }
+
     void the_settings_tell_what_is_served_where()
     {
         process_settings settings;
