Leave file descriptors to readiness checks, look-ups and targets

Seen: with 160 descriptors and 320 idle connections of callers, fewer than max_connections, a host accepted no readiness check and no look-up, further callers waited without an answer, and requests on open connections were answered 503. Hosts of the users' platform have 4,100 descriptors and allow 3,000 connections of callers, each of which needs another one to a target while it has a request.

Cause: whoever came first got the descriptors; then accept failed for all listeners alike.

Change: the descriptors are divided by the number of a new one, as the kernel hands out the lowest free number. Callers leave some to look-ups and targets, look-ups to targets, and these to readiness checks, peers and the store. A caller beyond its part is refused at once, as at the connection limit.

--- a/source/logging/event_schema.cpp
+++ b/source/logging/event_schema.cpp
@@ -41,6 +41,8 @@
      "Lines dropped because the reader of standard output was too slow."},
     {"log_output_may_wait", "why", false,
      "Standard output cannot be set to non-blocking mode; logging may block."},
+    {"descriptor_limit_unknown", "why", false,
+     "The limit of file descriptors cannot be read; none are reserved."},
     {"started", "callers lookups peers readiness", false,
      "The process accepts connections; an address is none if nothing is served there."},
     {"cannot_start", "why", false, "The process failed to start and exits."},
--- a/source/traffic/traffic_server.cpp
+++ b/source/traffic/traffic_server.cpp
@@ -53,6 +53,7 @@
                             settings.profile,
                             settings.budgets,
                             settings.max_connections,
+                            limits_of_process(),
                             state->slots.get(),
                             state->statements.get(),
                             &metrics,
--- a/source/traffic/upstream_pool.cpp
+++ b/source/traffic/upstream_pool.cpp
@@ -41,13 +41,23 @@
     ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &lost_probes, sizeof lost_probes);
 }
 
+/// Opens the connection's socket with a descriptor of those for targets.
+void open_socket(upstream_pool& pool, upstream_connection& connection, error_code& problem)
+{
+    auto& socket = connection.stream.socket();
+    socket.open(tcp::v4(), problem);
+    if (!problem && socket.native_handle() >= pool.descriptor_limit) {
+        error_code ignored;
+        socket.close(ignored);
+        problem = asio::error::no_descriptors;
+    }
+}
+
 } // namespace
 
 upstream_pool::~upstream_pool()
 {
-    for (auto& [to, connections] : idle) {
-        connections.clear_and_dispose(release);
-    }
+    drop_all_idle(*this);
 }
 
 connection_ptr take_idle(upstream_pool& pool, const endpoint& to)
@@ -80,6 +90,14 @@
     connection_ptr connection(new upstream_connection(*pool.io));
     const auto now = std::chrono::steady_clock::now();
     connection->stream.expires_at(std::min(deadline, now + connect_timeout));
+    open_socket(pool, *connection, problem);
+    if (problem == asio::error::no_descriptors) {
+        drop_all_idle(pool);
+        open_socket(pool, *connection, problem);
+    }
+    if (problem) {
+        co_return connection;
+    }
     const tcp::endpoint address(asio::ip::make_address(to.address), to.port);
     co_await connection->stream.async_connect(address, redirect_error_to(problem));
     if (!problem) {
@@ -108,4 +126,11 @@
     }
 }
 
+void drop_all_idle(upstream_pool& pool)
+{
+    for (auto& [to, connections] : pool.idle) {
+        connections.clear_and_dispose(release);
+    }
+}
+
 } // namespace almondquay
--- a/source/traffic/upstream_pool.h
+++ b/source/traffic/upstream_pool.h
@@ -4,6 +4,7 @@
 #include "traffic/beast_types.h"
 
 #include <chrono>
+#include <limits>
 #include <map>
 
 #include <boost/intrusive/list.hpp>
@@ -40,6 +41,8 @@
 
     asio::io_context* io;
     std::map<endpoint, boost::intrusive::list<upstream_connection>> idle;
+    /// Connections have descriptors below this number; the others are left to other uses.
+    int descriptor_limit = std::numeric_limits<int>::max();
 };
 
 /// Maximum number of idle connections per target. Together with those in use, they stay far below
@@ -57,6 +60,8 @@
 connection_ptr take_idle(upstream_pool& pool, const endpoint& to);
 
 /// Opens a new connection. Sets `problem` if the target was not reached; nothing was sent then.
+/// It is no_descriptors if the process has none left for connections to targets, even after all
+/// idle ones were closed.
 asio::awaitable<connection_ptr> connect(upstream_pool& pool, endpoint to,
                                         std::chrono::steady_clock::time_point deadline,
                                         error_code& problem);
@@ -67,4 +72,7 @@
 /// Closes all idle connections to a target, for example after one of them has failed.
 void drop_idle(upstream_pool& pool, const endpoint& to);
 
+/// Closes all idle connections, because the process has few file descriptors left.
+void drop_all_idle(upstream_pool& pool);
+
 } // namespace almondquay
--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -94,14 +94,17 @@
         }
         if (problem) {
             // Most likely out of file descriptors, so idle connections to targets are closed.
-            for (auto& [to, unused] : w.upstreams.idle) {
-                drop_idle(w.upstreams, to);
-            }
+            drop_all_idle(w.upstreams);
             asio::steady_timer pause(w.io, accept_pause);
             co_await pause.async_wait(redirect_error_to(problem));
             continue;
         }
-        if (at.connections >= w.context.max_connections) {
+        const bool is_reserved =
+            socket.native_handle() >= limit_for(w.context.descriptors, at.role);
+        if (is_reserved) {
+            drop_all_idle(w.upstreams);
+        }
+        if (is_reserved || at.connections >= w.context.max_connections) {
             reject_connection(socket);
             continue;
         }
--- a/source/traffic/worker.h
+++ b/source/traffic/worker.h
@@ -6,6 +6,7 @@
 #include "metrics/registry.h"
 #include "steering/routing_snapshot.h"
 #include "traffic/caller_connection.h"
+#include "traffic/descriptor_limit.h"
 #include "traffic/listener.h"
 #include "traffic/placement.h"
 #include "traffic/retry_budget.h"
@@ -37,6 +38,7 @@
     const wire_profile* profile = &builtin_profile;
     shared_budgets budgets;
     std::uint32_t max_connections = 0; ///< for each listener and thread
+    descriptor_limits descriptors;
     slot_pool* slots = nullptr;
     statement_board* statements = nullptr;
     metrics::registry* metrics = nullptr;
@@ -75,6 +77,7 @@
     explicit worker(traffic_context shared)
         : context(std::move(shared)), upstreams(io), random(context.first_request + 1)
     {
+        upstreams.descriptor_limit = context.descriptors.targets;
     }
 
     traffic_context context;
--- a/unit_tests/traffic/traffic_server_test.cpp
+++ b/unit_tests/traffic/traffic_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include "config/process_settings.h"
 #include "support/loopback.h"
+#include "traffic/descriptor_limit.h"
 #include "traffic/spill.h"
 
 #include <atomic>
@@ -196,6 +197,7 @@
     CPPUNIT_TEST(callers_that_fill_their_connections_take_none_elsewhere);
     CPPUNIT_TEST(a_stop_waits_for_callers_only);
     CPPUNIT_TEST(a_target_is_not_blamed_for_missing_descriptors);
+    CPPUNIT_TEST(descriptors_are_left_to_targets_and_to_the_rest);
     CPPUNIT_TEST(the_settings_tell_what_is_served_where);
     CPPUNIT_TEST_SUITE_END();
 
@@ -383,6 +385,22 @@
                        std::string::npos);
     }
 
+    void descriptors_are_left_to_targets_and_to_the_rest()
+    {
+        for (const int all : {1, 17, 64, 256, 1'024, 4'096, 1'048'576, 2'147'483'647}) {
+            const auto limits = limits_of(all);
+            CPPUNIT_ASSERT(0 < limits.callers);
+            CPPUNIT_ASSERT(limits.callers <= limits.lookups && limits.lookups <= limits.targets);
+            CPPUNIT_ASSERT(limits.targets <= all);
+            const bool is_usual = all >= 64;
+            CPPUNIT_ASSERT(!is_usual || limits.callers > all / 2);
+            CPPUNIT_ASSERT(!is_usual || limits.callers < limits.lookups);
+            CPPUNIT_ASSERT(!is_usual || limits.lookups < limits.targets);
+            CPPUNIT_ASSERT(!is_usual || limits.targets < all);
+            CPPUNIT_ASSERT(limit_for(limits, listener_role::readiness) >= all);
+        }
+    }
+
     void the_settings_tell_what_is_served_where()
     {
         process_settings settings;
