Count and log connections that are refused at a limit

A refused connection left no trace at the host: neither its log nor its metrics could tell callers that it turned away from callers that never came, which the limits of this issue need.

process_connection_limit failed before (2 of 7 expectations) and passes.

--- a/source/traffic/worker.cpp
+++ b/source/traffic/worker.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/handler_failure.h"
 #include "traffic/outcome.h"
+#include "traffic/request_log.h"
 #include "traffic/session.h"
 
 #include <algorithm>
@@ -70,9 +71,11 @@
 
 /// Refuses a caller beyond the connection limit with a response that is short enough to fit into
 /// any socket buffer.
-void reject_connection(tcp::socket& socket)
+void reject_connection(worker& w, tcp::socket& socket)
 {
     const auto code = result_code::too_many_connections;
+    w.context.metrics->add({"requests_total", "", std::string(name_of(code))});
+    log_refused(w, {}, code);
     const auto body = refusal_body(code, outcome::not_run);
     const auto text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" +
                       std::string(outcome_header) + ": not-run\r\n" + std::string(result_header) +
@@ -105,7 +108,7 @@
             drop_all_idle(w.upstreams);
         }
         if (is_reserved || at.connections >= w.context.max_connections) {
-            reject_connection(socket);
+            reject_connection(w, socket);
             continue;
         }
         asio::co_spawn(w.io, serve(w, at, std::move(socket)),
--- a/unit_tests/processes/connection_limit.sh
+++ b/unit_tests/processes/connection_limit.sh
@@ -16,6 +16,8 @@
 sleep 0.2
 answer=$(get "$host" ledger "/x")
 expect "a connection over the limit is rejected" contains "$answer" "Almondquay-Result: 3014"
+expect "the refusal is counted" contains "$(http_get 127.0.4.2:7001 /metrics)" 'result="too_many_connections"} 1'
+expect "the refusal is logged" grep -q "event=request_refused .*result=too_many_connections" "$work/small.out"
 expect "the refusal says that the request has not run" contains "$answer" "Almondquay-Outcome: not-run"
 printf 'GET /x HTTP/1.1\r\nHost: ledger\r\nConnection: close\r\n\r\n' >&20
 expect "an open connection is served" contains "$(timeout 2 cat <&20)" "200 OK"
