Tell repeatable requests by the path of an absolute target too

Seen: with our own interface GET http://ledger/stamp needed no key and could run twice, though the service declares /stamp as not repeatable; GET /stamp was refused without a key.

Cause: the prefixes were compared with the request's target as sent, which may be a whole URI. Found while looking for requests whose form decides what becomes of them; on the users' platform such a target matches no route and is answered 404.

process_at_most_once failed before (2 targets in absolute form) and passes.

--- a/source/traffic/lookup.cpp
+++ b/source/traffic/lookup.cpp
@@ -5,8 +5,6 @@
 #include "traffic/request_rules.h"
 #include "traffic/spill.h"
 
-#include <algorithm>
-
 namespace almondquay {
 
 namespace {
@@ -47,21 +45,6 @@
     return found == nullptr ? std::nullopt : std::optional<std::string>(*found);
 }
 
-/// The path of a request target without its query. A target in absolute form is a whole URI
-/// (RFC 9112, 3.2.2).
-std::string_view path_of(const caller_parser& parser)
-{
-    const auto target = parser.get().target();
-    std::string_view path(target.data(), target.size());
-    constexpr std::string_view authority_mark = "://";
-    const auto authority = path.find(authority_mark);
-    if (!path.starts_with('/') && authority != std::string_view::npos) {
-        path.remove_prefix(authority + authority_mark.size());
-        path.remove_prefix(std::min(path.find_first_of("/?"), path.size()));
-    }
-    return path.substr(0, path.find('?'));
-}
-
 bool is_lookup(const worker& w, const caller_parser& parser)
 {
     return path_of(parser) == w.context.profile->lookup_path;
--- a/source/traffic/request_rules.cpp
+++ b/source/traffic/request_rules.cpp
@@ -70,15 +70,27 @@
     const auto& head = request.parser->get();
     const auto& definition = w.snapshot->services.find(request.service)->second.definition;
     const auto method = head.method_string();
-    const auto path = head.target();
     request.deadline = request.started + deadline_of(w, *request.parser, definition.deadline);
     request.repeatable =
-        is_repeatable(definition, {method.data(), method.size()}, {path.data(), path.size()});
+        is_repeatable(definition, {method.data(), method.size()}, path_of(*request.parser));
     request.is_spilled = is_spilled(w, request.service, head);
 }
 
 } // namespace
 
+std::string_view path_of(const caller_parser& parser)
+{
+    const auto target = parser.get().target();
+    std::string_view path(target.data(), target.size());
+    constexpr std::string_view authority_mark = "://";
+    const auto authority = path.find(authority_mark);
+    if (!path.starts_with('/') && authority != std::string_view::npos) {
+        path.remove_prefix(authority + authority_mark.size());
+        path.remove_prefix(std::min(path.find_first_of("/?"), path.size()));
+    }
+    return path.substr(0, path.find('?'));
+}
+
 std::string service_of(const caller_parser& parser)
 {
     const auto value = parser.get()[beast::http::field::host];
--- a/source/traffic/request_rules.h
+++ b/source/traffic/request_rules.h
@@ -3,10 +3,17 @@
 #include "traffic/forward.h"
 #include "traffic/worker.h"
 
+#include <string>
+#include <string_view>
+
 /// Evaluates a request's header: its route or service, its object, its deadline, and whether it may
 /// be repeated.
 namespace almondquay {
 
+/// The path of a request's target, without its query. A target in absolute form, a whole URI, names
+/// the same path as one in origin form (RFC 9112, 3.2).
+std::string_view path_of(const caller_parser& parser);
+
 /// The service that a caller of the built-in interface asks for: the first label of the Host
 /// header, "ledger" or "ledger.example:80".
 std::string service_of(const caller_parser& parser);
--- a/unit_tests/processes/at_most_once.sh
+++ b/unit_tests/processes/at_most_once.sh
@@ -5,6 +5,12 @@
 . "$(dirname "$0")/checks.sh"
 deploy
 
+# A request target in absolute form names the same path.
+for target in /stamp http://ledger/stamp HTTP://ledger:80/stamp; do
+    answer=$(printf 'GET %s HTTP/1.1\r\nHost: ledger\r\nConnection: close\r\n\r\n' "$target" | raw 127.0.3.1:7000 2)
+    expect "GET $target must not repeat, so it needs a key" contains "$answer" "Almondquay-Result: 4001"
+done
+
 caller --service ledger --method POST --path "/stamp?ms=10" --keys --rate 60 --seconds 22 \
     --resends 4 --connections 12 >"$work/stamps.txt" &
 stamps=$!
