Soak: requests for a path that other addresses of a host serve

While hosts start, stop, die and pause, callers also send work that must not repeat to /-/ready of a route over all paths, with the checks of the other callers.

Besides: a connection's role is not a const member, as the guidelines advise.

--- a/source/traffic/caller_connection.h
+++ b/source/traffic/caller_connection.h
@@ -32,7 +32,7 @@
     {
     }
 
-    const listener_role role; ///< what is served at the address of its listener
+    listener_role role; ///< what is served at the address of its listener
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_caller_buffer_bytes};
     asio::steady_timer changed; ///< cancelled to wake waiters when `current_turn` or `gone` changes
--- a/unit_tests/soak/soak.sh
+++ b/unit_tests/soak/soak.sh
@@ -32,14 +32,14 @@
     store PUT "servers/i-$1" "{\"service\":\"s\",\"address\":\"$at:9000\",\"zone\":\"$(zone_of "$1" 3)\",\"version\":\"v1\",\"slots\":3,\"state\":\"$2\",\"cold_left_s\":0,\"sequence\":1,\"born\":$(date +%s%3N)}"
 }
 
-route() { # prefix kind
-    printf '{"name":"r-%s","host":"a.example","path_prefix":"/%s/","kind":"%s","timeout_s":2.5,"target_latency_s":0.5,"priority":2,"service":"s","max_attempts":2,"sticky":true,"home_regions":[]}' \
-        "$1" "$1" "$2"
+route() { # prefix kind [host path-prefix]
+    printf '{"name":"r-%s","host":"%s","path_prefix":"%s","kind":"%s","timeout_s":2.5,"target_latency_s":0.5,"priority":2,"service":"s","max_attempts":2,"sticky":true,"home_regions":[]}' \
+        "$1" "${3:-a.example}" "${4:-/$1/}" "$2"
 }
 
 apply_manifest() { # writes a new version with a route named after the version
     version=$((version + 1 + RANDOM % 3))
-    store PUT config/main "{\"version\":\"$(printf '%08x' "$version")\",\"routes\":[$(route view idempotent),$(route stamp non_idempotent),$(route "v$version" idempotent)],\"services\":[{\"name\":\"s\",\"health_path\":\"/healthz\",\"max_conns\":200,\"warmup_s\":1,\"cold_per_s\":4}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1000000,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+    store PUT config/main "{\"version\":\"$(printf '%08x' "$version")\",\"routes\":[$(route view idempotent),$(route stamp non_idempotent),$(route "v$version" idempotent),$(route app non_idempotent app.example /)],\"services\":[{\"name\":\"s\",\"health_path\":\"/healthz\",\"max_conns\":200,\"warmup_s\":1,\"cold_per_s\":4}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1000000,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
 }
 
 start_entry() { # number
@@ -59,14 +59,18 @@
 
 callers() { # name seconds
     local seeds=127.0.1.1:7002,127.0.1.2:7002,127.0.1.3:7002,127.0.1.4:7002
-    local common=(--registry --keys --service a.example --seeds "$seeds" --seconds "$2" --resends 3
+    local common=(--registry --keys --seeds "$seeds" --seconds "$2" --resends 3
         --refused "$work/refused.txt")
-    "$build/unit_tests/fakes/fake_caller" "${common[@]}" --seed "$((seed * 2))" --rate 60 \
+    "$build/unit_tests/fakes/fake_caller" "${common[@]}" --service a.example --seed "$((seed * 2))" --rate 60 \
         --path "/view/a?ms=20" >"$work/$1-views.txt" &
     callers_pids=($!)
-    "$build/unit_tests/fakes/fake_caller" "${common[@]}" --seed "$((seed * 2 + 1))" --rate 30 \
+    "$build/unit_tests/fakes/fake_caller" "${common[@]}" --service a.example --seed "$((seed * 2 + 1))" --rate 30 \
         --method POST --path "/stamp/a?ms=30" >"$work/$1-stamps.txt" &
     callers_pids+=($!)
+    # A path that has another meaning at other addresses of a host.
+    "$build/unit_tests/fakes/fake_caller" "${common[@]}" --service app.example --seed "$((seed * 2 + 100001))" \
+        --rate 20 --method POST --path "/-/ready?ms=30" >"$work/$1-marks.txt" &
+    callers_pids+=($!)
 }
 
 # Faults of hosts and targets come one after the other; those of network paths and of the store overlap
@@ -186,14 +190,14 @@
 expect "no non-repeatable request ran twice" equal "$(sort "$work/runs.txt" | uniq -d | wc -l)" 0
 expect "no refused request had run" equal \
     "$(sort -u "$work/runs.txt" | comm -12 - <(sort -u "$work/refused.txt") | wc -l)" 0
-for kind in views stamps; do
+for kind in views stamps marks; do
     expect "no $kind got a wrong answer" equal "$(count_of "$work/storm-$kind.txt" wrong)" 0
     expect "some $kind were served" at_most 1 "$(count_of "$work/storm-$kind.txt" served)"
 done
 sleep 5 # After that the faults no longer affect how hosts treat targets and peers.
 callers calm 2
 wait "${callers_pids[@]}"
-for kind in views stamps; do
+for kind in views stamps marks; do
     expect "after the faults have ended no $kind are lost" equal "$(awk '/^lost/{print $NF}' "$work/calm-$kind.txt")" 0
     expect "after the faults have ended no $kind are refused" equal "$(grep -c refused "$work/calm-$kind.txt")" 0
 done
