--- a/source/traffic/forward.cpp
+++ b/source/traffic/forward.cpp
@@ -1,13 +1,12 @@
 #include "traffic/forward.h"
 
-#include "logging/handler_failure.h"
+#include "traffic/crash_check.h"
 #include "traffic/exchange.h"
 #include "traffic/request_log.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,9 +23,6 @@
 constexpr std::chrono::milliseconds avoid_time{1'000};
 /// Minimum Retry-After of a refusal; also used if it is not known when a target will be free.
 constexpr std::chrono::milliseconds shortest_retry_after{200};
-/// Delay before testing whether a target has crashed: a crashing target may close its connections
-/// slightly before its listener.
-constexpr std::chrono::milliseconds crash_check_delay{150};
 /// Time that a stopping host keeps for responses on their way.
 constexpr std::chrono::milliseconds stop_margin{500};
 /// How long to wait for the host that issues permits, and how long to leave its target alone if it
@@ -271,9 +267,9 @@
         }
         return;
     }
-    const bool tells_nothing =
+    const bool says_nothing_about_target =
         end.code == result_code::caller_gone || end.code == result_code::too_many_connections;
-    if (tells_nothing) {
+    if (says_nothing_about_target) {
         return;
     }
     ++load.failures;
@@ -282,49 +278,6 @@
     }
 }
 
-std::string describe(const caller_request& request)
-{
-    const auto& head = request.parser->get();
-    constexpr std::size_t longest_path = 80;
-    return request.service + " " + std::string(head.method_string()) + " " +
-           std::string(head.target()).substr(0, longest_path);
-}
-
-/// Reports a crash unless the target still accepts connections; in that case only a response was
-/// lost, by the target or by a network device on the path. The connection opened for this test is
-/// kept for later requests.
-asio::awaitable<void> report_if_crashed(worker& w, crash_evidence evidence, endpoint address)
-{
-    error_code problem;
-    asio::steady_timer delay(w.io, crash_check_delay);
-    co_await delay.async_wait(redirect_error_to(problem));
-    const auto upstream = co_await connect(w.upstreams, address, clock::time_point::max(), problem);
-    if (!problem) {
-        put_idle(w.upstreams, address, upstream);
-        co_return;
-    }
-    if (problem == asio::error::no_descriptors) {
-        co_return; // Tells nothing about the target.
-    }
-    w.suspects.insert(evidence.fingerprint);
-    w.context.events.crash(std::move(evidence));
-}
-
-/// If the connection closed without a response, tests whether this request crashed the target. A
-/// suspected request that is served is cleared.
-void check_for_crash(worker& w, const caller_request& request, const slot& used,
-                     const forward_result& end)
-{
-    if (end.code == result_code::target_answer_lost) {
-        asio::co_spawn(w.io,
-                       report_if_crashed(w, {request.fingerprint, describe(request), used.target},
-                                         used.address),
-                       log::failures_of("crash check"));
-    } else if (end.request_outcome == outcome::ran && w.suspects.erase(request.fingerprint) != 0) {
-        w.context.events.cleared(request.fingerprint);
-    }
-}
-
 asio::awaitable<forward_result> attempt(worker& w, caller_request& request, const slot& used)
 {
     // Non-idempotent requests are never sent on a reused connection, where a close by the target
